--- /dev/null
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/session/SessionToken.kt
@@ -0,0 +1,33 @@
+package dev.kumquatknot.core.session
+
+import dev.kumquatknot.core.databasegroup.HistoryPoint
+import dev.kumquatknot.core.identity.DatabaseName
+import dev.kumquatknot.core.identity.TeamName
+import kotlinx.serialization.Serializable
+
+/**
+ * What a session has written or read, carried by the caller from answer to request.
+ *
+ * @property points per database group the highest point that the session has written or read.
+ * @property unresolved database groups in which the session has a write of unknown outcome; it reads there from a
+ * primary that a majority still follows, until a later write or a resolved key makes the outcome known.
+ */
+@Serializable
+public data class SessionToken(
+    val team: TeamName,
+    val points: Map<DatabaseName, HistoryPoint> = emptyMap(),
+    val unresolved: Set<DatabaseName> = emptySet(),
+) {
+    /** Returns the point that a read of [database] must not miss. */
+    public fun pointOf(database: DatabaseName): HistoryPoint = points[database] ?: HistoryPoint.START
+
+    /** Returns this token after the session has seen [point] of [database]. */
+    public fun advancedTo(database: DatabaseName, point: HistoryPoint): SessionToken =
+        copy(points = points + (database to maxOf(pointOf(database), point)))
+
+    /** Returns this token after a write to [database] ended with unknown outcome. */
+    public fun withUnresolved(database: DatabaseName): SessionToken = copy(unresolved = unresolved + database)
+
+    /** Returns this token after a primary that a majority still follows has answered for [database]. */
+    public fun withResolved(database: DatabaseName): SessionToken = copy(unresolved = unresolved - database)
+}
