--- /dev/null
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/idempotency/IdempotencyRecord.kt
@@ -0,0 +1,95 @@
+package dev.kumquatknot.core.idempotency
+
+import com.dynatrace.hash4j.hashing.Hashing
+import dev.kumquatknot.core.identity.TeamName
+import dev.kumquatknot.core.member.SqlValue
+import dev.kumquatknot.core.member.Statement
+import dev.kumquatknot.core.member.StatementResult
+import dev.kumquatknot.core.request.IdempotencyKey
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import java.time.Instant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.toJavaDuration
+
+/** What the record of an idempotency key says about a request with the same key. */
+public sealed interface RecordLookup {
+    /** No record: work with this key has not committed in the history that was read. */
+    public data object Absent : RecordLookup
+
+    /** The same work has committed; [results] is its first answer. */
+    public data class SameWork(val results: List<StatementResult>) : RecordLookup
+
+    /** Other work has committed under this key. */
+    public data object OtherWork : RecordLookup
+}
+
+/**
+ * The records that make keyed work run at most once. A record lives in the database group itself and commits in the
+ * transaction of the work, so that the two are kept or lost together. Record keys hold the team, so that teams never
+ * meet.
+ */
+public object IdempotencyRecord {
+    /** Time for which a record is kept after its work has committed. */
+    public val RETENTION: Duration = 24.hours
+
+    /** Number of outdated records that one clean-up deletes at most. */
+    public const val CLEAN_UP_BATCH: Int = 500
+
+    /** SQL state of a violated unique key: another request with the same key has committed first. */
+    public const val UNIQUE_VIOLATION: String = "23505"
+
+    /** Creates the table of records where it does not exist. */
+    public val createTable: Statement = Statement(
+        "CREATE TABLE IF NOT EXISTS kumquatknot_record (record_key VARCHAR(600) PRIMARY KEY, " +
+            "work_digest BIGINT NOT NULL, answer TEXT NOT NULL, created_at BIGINT NOT NULL)",
+    )
+
+    /** Inserts the record of [key] with an empty answer; fails with [UNIQUE_VIOLATION] where there is one. */
+    public fun insert(team: TeamName, key: IdempotencyKey, work: List<Statement>, now: Instant): Statement = Statement(
+        "INSERT INTO kumquatknot_record (record_key, work_digest, answer, created_at) VALUES (?, ?, '', ?)",
+        listOf(recordKey(team, key), SqlValue.Integer(digest(work)), SqlValue.Integer(now.toEpochMilli())),
+    )
+
+    /** Puts the answer into the record of [key], in the same transaction as [insert]. */
+    public fun complete(team: TeamName, key: IdempotencyKey, results: List<StatementResult>): Statement = Statement(
+        "UPDATE kumquatknot_record SET answer = ? WHERE record_key = ?",
+        listOf(SqlValue.Text(Json.encodeToString(resultList, results)), recordKey(team, key)),
+    )
+
+    /** Reads the record of [key]; [lookup] reads the result. */
+    public fun select(team: TeamName, key: IdempotencyKey): Statement = Statement(
+        "SELECT work_digest, answer FROM kumquatknot_record WHERE record_key = ?",
+        listOf(recordKey(team, key)),
+    )
+
+    /** Deletes up to [CLEAN_UP_BATCH] records that are older than [RETENTION] at [now]. */
+    public fun deleteOutdated(now: Instant): Statement = Statement(
+        "DELETE FROM kumquatknot_record WHERE record_key IN " +
+            "(SELECT record_key FROM kumquatknot_record WHERE created_at < ? LIMIT $CLEAN_UP_BATCH)",
+        listOf(SqlValue.Integer(now.minus(RETENTION.toJavaDuration()).toEpochMilli())),
+    )
+
+    /**
+     * Interprets the [result] of [select] for a request to run [work]; null stands for a question that names only the
+     * key.
+     */
+    public fun lookup(result: StatementResult, work: List<Statement>?): RecordLookup {
+        val row = result.rows.firstOrNull() ?: return RecordLookup.Absent
+        val recorded = (row[DIGEST_COLUMN] as SqlValue.Integer).value
+        if (work != null && recorded != digest(work)) return RecordLookup.OtherWork
+        val answer = (row[ANSWER_COLUMN] as SqlValue.Text).value
+        return RecordLookup.SameWork(Json.decodeFromString(resultList, answer))
+    }
+
+    private fun recordKey(team: TeamName, key: IdempotencyKey) = SqlValue.Text("${team.value}/${key.value}")
+
+    private fun digest(work: List<Statement>): Long =
+        Hashing.komihash5_0().hashCharsToLong(Json.encodeToString(statementList, work))
+
+    private val statementList = ListSerializer(Statement.serializer())
+    private val resultList = ListSerializer(StatementResult.serializer())
+    private const val DIGEST_COLUMN = 0
+    private const val ANSWER_COLUMN = 1
+}
