--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/relay/RelayMessages.kt
@@ -0,0 +1,79 @@
+package dev.kumquatknot.proxy.relay
+
+import arrow.core.Either
+import dev.kumquatknot.core.configuration.KindConfiguration
+import dev.kumquatknot.core.databasegroup.HistoryPoint
+import dev.kumquatknot.core.databasegroup.Term
+import dev.kumquatknot.core.identity.DatabaseName
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.identity.RequestId
+import dev.kumquatknot.core.identity.TeamName
+import dev.kumquatknot.core.member.MemberRole
+import dev.kumquatknot.core.member.StatementResult
+import dev.kumquatknot.core.outcome.Failure
+import dev.kumquatknot.core.request.IdempotencyKey
+import dev.kumquatknot.core.request.Work
+import kotlin.time.Duration
+
+/**
+ * How fresh the data of a read must be.
+ *
+ * @property required point that the answer must cover.
+ * @property maximumAge age that the data may have when the answer leaves the member's gateway, or null.
+ * @property standing whether a primary must answer in whose term a majority stood after the request had arrived.
+ */
+public data class ReadNeeds(val required: HistoryPoint, val maximumAge: Duration?, val standing: Boolean)
+
+/**
+ * Work on its way to the gateway of [member].
+ *
+ * @property remaining time left until the caller's deadline.
+ * @property catchUp longest time to wait for the member to become fresh enough.
+ */
+public data class RelayRequest(
+    val id: RequestId,
+    val team: TeamName,
+    val kind: KindConfiguration,
+    val database: DatabaseName,
+    val member: MemberName,
+    val needs: ReadNeeds,
+    val work: Work,
+    val key: IdempotencyKey?,
+    val remaining: Duration,
+    val catchUp: Duration,
+)
+
+/**
+ * Answer of a member.
+ *
+ * @property point what the session has now seen of the database group.
+ * @property transaction number of the interactive transaction that was started, or null.
+ */
+public data class RelayAnswer(
+    val results: List<StatementResult>,
+    val point: HistoryPoint,
+    val role: MemberRole,
+    val repeated: Boolean = false,
+    val transaction: Long? = null,
+)
+
+/**
+ * What the gateway of a member knows of the member and its group.
+ *
+ * @property primary primary of [term], or null where none is known.
+ * @property point last entry of the member, as last seen.
+ * @property wait mean time that work waited for a slot.
+ * @property service mean time that the member took for one batch.
+ */
+public data class MemberStatus(
+    val term: Term,
+    val primary: MemberName?,
+    val point: HistoryPoint,
+    val wait: Duration,
+    val service: Duration,
+    val inFlight: Int,
+    val reachable: Boolean,
+)
+
+/** Outcome of a [RelayRequest], with the [status] of the member that comes along with every answer. */
+public data class RelayReply(val result: Either<Failure, RelayAnswer>, val status: MemberStatus)
