Admit work per member and share its scarce connections

Cause: a member runs few statements at a time and accepts few connections, while kinds of work of very different worth flood in.

MemberGateway puts both at the disposal of worker threads and gives connections back only when they are known clean.

--- /dev/null
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/Averages.kt
@@ -0,0 +1,42 @@
+package dev.kumquatknot.core.admission
+
+import kotlin.math.exp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** Exponentially weighted moving average of durations, each sample weighing [weight]. */
+internal class DurationAverage(private val weight: Double, private val initial: Duration) {
+    private var seconds: Double? = null
+
+    val value: Duration get() = seconds?.seconds ?: initial
+
+    val measured: Boolean get() = seconds != null
+
+    fun add(sample: Duration) {
+        val latest = sample.toDouble(DurationUnit.SECONDS)
+        seconds = seconds?.let { it + weight * (latest - it) } ?: latest
+    }
+}
+
+/** Slot time per second of elapsed time, decaying with [window]. */
+internal class UsageRate(private val window: Duration) {
+    private var slotSeconds = 0.0
+    private var updatedAt = Duration.ZERO
+
+    fun add(slotTime: Duration, now: Duration) {
+        decay(now)
+        slotSeconds += slotTime.toDouble(DurationUnit.SECONDS)
+    }
+
+    fun slots(now: Duration): Double {
+        decay(now)
+        return slotSeconds / window.toDouble(DurationUnit.SECONDS)
+    }
+
+    private fun decay(now: Duration) {
+        if (now <= updatedAt) return
+        slotSeconds *= exp(-((now - updatedAt) / window))
+        updatedAt = now
+    }
+}
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/member/PinnedConnection.kt
@@ -0,0 +1,33 @@
+package dev.kumquatknot.proxy.member
+
+import arrow.core.Either
+import dev.kumquatknot.core.admission.WorkItem
+import java.util.concurrent.atomic.AtomicBoolean
+
+/**
+ * A connection that an interactive transaction keeps between its statements. It holds a slot only while a statement
+ * runs. Used by one thread at a time; [release] may come from any thread, once the last statement has ended.
+ */
+public class PinnedConnection internal constructor(
+    private val connection: TrackedConnection,
+    private val gateway: MemberGateway,
+) {
+    private val released = AtomicBoolean()
+
+    /** Whether the connection is lost, and the transaction with it. */
+    public val broken: Boolean get() = connection.broken
+
+    /** Waits for a slot and runs [action] on this connection. */
+    public fun <T> execute(item: WorkItem, action: MemberAction<T>): Either<GatewayFailure, T> {
+        check(!released.get()) { "the connection has been released" }
+        return gateway.executePinned(connection, item, action)
+    }
+
+    /**
+     * Gives the connection back. It is closed, and with it an open transaction rolled back, unless [clean] says that
+     * the transaction has ended and its last answer says so too. Releasing it again has no effect.
+     */
+    public fun release(clean: Boolean) {
+        if (released.compareAndSet(false, true)) gateway.unpin(connection, clean)
+    }
+}
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/member/SlotUse.kt
@@ -0,0 +1,52 @@
+package dev.kumquatknot.proxy.member
+
+import arrow.core.Either
+import arrow.core.left
+import dev.kumquatknot.core.admission.RefusalReason
+import dev.kumquatknot.core.admission.Ticket
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.member.MemberFailure
+import dev.kumquatknot.core.outcome.Step
+import dev.kumquatknot.core.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The time for which one item holds a slot, and how much of it a statement ran. Used by one thread. */
+internal class SlotUse(private val ticket: Ticket, private val member: MemberName, private val clock: Clock) {
+    private val enteredAt = clock.elapsed()
+    private var ran: Duration? = null
+    private var answered = true
+
+    /** Runs [action] for the time that the item's deadline leaves. */
+    fun <T> run(connection: TrackedConnection, action: MemberAction<T>): Either<GatewayFailure, T> {
+        val startedAt = clock.elapsed()
+        val timeout = ticket.item.deadline - startedAt
+        if (timeout <= Duration.ZERO) {
+            return GatewayFailure.Refused(member, RefusalReason.DEADLINE_PASSED, RETRY_AFTER).left()
+        }
+        if (connection.broken) return GatewayFailure.Failed(connectionLost).left()
+        try {
+            return action(connection, timeout).mapLeft { GatewayFailure.Failed(it) }
+        } finally {
+            ran = clock.elapsed() - startedAt
+            answered = !connection.silent
+        }
+    }
+
+    /** Gives the slot back. */
+    fun end(slots: SlotGate) {
+        val serviceTime = ran
+        if (serviceTime == null) {
+            slots.abandon(ticket, clock.elapsed() - enteredAt)
+        } else {
+            slots.leave(ticket, serviceTime, answered)
+        }
+    }
+
+    private val connectionLost
+        get() = MemberFailure.Unreachable(member, Step.EXECUTE, "the connection to $member was lost before")
+
+    private companion object {
+        val RETRY_AFTER = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/member/TrackedConnection.kt
@@ -0,0 +1,56 @@
+package dev.kumquatknot.proxy.member
+
+import arrow.core.Either
+import dev.kumquatknot.core.member.BatchEnd
+import dev.kumquatknot.core.member.BatchReply
+import dev.kumquatknot.core.member.MemberConnection
+import dev.kumquatknot.core.member.MemberFailure
+import dev.kumquatknot.core.member.StatementBatch
+import dev.kumquatknot.core.pooling.ConnectionNumber
+import kotlin.time.Duration
+
+/** A connection of the pool that knows whether it has an open transaction and whether it can still be used. */
+internal class TrackedConnection(
+    val number: ConnectionNumber,
+    private val connection: MemberConnection,
+) : MemberConnection {
+    /** Whether a transaction is or may be open on the connection. */
+    var transactionOpen: Boolean = false
+        private set
+
+    /** Whether the connection is of no more use. */
+    var broken: Boolean = false
+        private set
+
+    /** Whether the member left a call without an answer. */
+    var silent: Boolean = false
+        private set
+
+    /** Whether the connection may serve another request. */
+    val clean: Boolean get() = !transactionOpen && !broken
+
+    override fun run(batch: StatementBatch, timeout: Duration): Either<MemberFailure, BatchReply> {
+        val wasOpen = transactionOpen
+        transactionOpen = true
+        return connection.run(batch, timeout)
+            .onRight { transactionOpen = batch.end == BatchEnd.KEEP_OPEN }
+            .onLeft { note(it, wasOpen) }
+    }
+
+    override fun close() {
+        broken = true
+        connection.close()
+    }
+
+    private fun note(failure: MemberFailure, wasOpen: Boolean) {
+        when (failure) {
+            is MemberFailure.StatementFailed -> transactionOpen = false
+            is MemberFailure.LowerTerm, is MemberFailure.NotPrimary -> transactionOpen = wasOpen
+            is MemberFailure.TooManyConnections, is MemberFailure.Unreachable -> broken = true
+            is MemberFailure.NoAnswer -> {
+                broken = true
+                silent = true
+            }
+        }
+    }
+}
