--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/AdmissionQueue.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/AdmissionQueue.kt
@@ -37,7 +37,6 @@
         val expected = flow.expectedService(item)
         if (inFlight < limit.current && queued == 0) {
             if (now + expected > item.deadline) return refusal(RefusalReason.DEADLINE_UNREACHABLE, expected)
-            flow.standing(Duration.ZERO, item.target, policy.standingInterval, now)
             return Admission.Granted(start(Ticket(item, flow, now, expected), now))
         }
         val expectedWait = expectedWait(flow, now)
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/Flow.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/Flow.kt
@@ -15,7 +15,8 @@
     private val service = DurationAverage(policy.serviceTimeWeight, policy.initialServiceTime)
     private val baseline = DurationAverage(policy.baselineWeight, policy.initialServiceTime)
     private var owedAt = Duration.ZERO
-    private var standingSince: Duration? = null
+    private var exceededSince = -Duration.INFINITE
+    private var lastExceededAt = -Duration.INFINITE
 
     internal var floor: Double = floorPercent / PERCENT
     internal var workAhead: Duration = Duration.ZERO
@@ -84,14 +85,15 @@
         return usual?.takeIf { it > Duration.ZERO }?.let { perUnit / it }
     }
 
-    /** Notes the expected wait, and tells whether it has exceeded [target] for at least [interval] without a break. */
-    internal fun standing(expectedWait: Duration, target: Duration, interval: Duration, now: Duration): Boolean {
-        if (expectedWait <= target) {
-            standingSince = null
-            return false
-        }
-        val since = standingSince ?: now.also { standingSince = it }
-        return now - since >= interval
+    /**
+     * Notes an answer expected after [answer], and tells whether [target] has been exceeded again and again for at
+     * least [interval]. A time of that length in which no offer exceeds it ends this.
+     */
+    internal fun standing(answer: Duration, target: Duration, interval: Duration, now: Duration): Boolean {
+        if (answer <= target) return false
+        if (now - lastExceededAt > interval) exceededSince = now
+        lastExceededAt = now
+        return now - exceededSince >= interval
     }
 
     private fun forget(ticket: Ticket) {
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/RetryBudget.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/RetryBudget.kt
@@ -4,24 +4,24 @@
  * Budget of automatic retries: each success earns a part of a retry, so that retries stay a fixed share of the work
  * that succeeds and an overload never feeds itself. Not safe for use by several threads at once.
  *
- * @param retriesPerSuccess share of a retry that one success earns.
+ * @param successesPerRetry successes that earn one retry.
  * @param capacity retries that can be saved up; the budget starts full.
  */
-public class RetryBudget(private val retriesPerSuccess: Double = 0.1, private val capacity: Double = 10.0) {
-    private var balance = capacity
+public class RetryBudget(private val successesPerRetry: Int = 10, private val capacity: Int = 10) {
+    private var successes = capacity * successesPerRetry
 
-    /** Number of whole retries that the budget allows now. */
-    public val available: Int get() = balance.toInt()
+    /** Number of retries that the budget allows now. */
+    public val available: Int get() = successes / successesPerRetry
 
-    /** Notes that work succeeded at its first attempt or later. */
+    /** Notes that work succeeded, at its first attempt or later. */
     public fun recordSuccess() {
-        balance = minOf(capacity, balance + retriesPerSuccess)
+        successes = minOf(capacity * successesPerRetry, successes + 1)
     }
 
     /** Takes one retry out of the budget; false where it is used up and the failure goes to the caller. */
     public fun trySpend(): Boolean {
-        if (balance < 1.0) return false
-        balance -= 1.0
+        if (available == 0) return false
+        successes -= successesPerRetry
         return true
     }
 }
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/admission/RetryBudgetSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/admission/RetryBudgetSpec.kt
@@ -7,7 +7,7 @@
 class RetryBudgetSpec {
     @Test
     fun `allows its capacity and then a fixed share of the successes`() {
-        val budget = RetryBudget(retriesPerSuccess = 0.1, capacity = 10.0)
+        val budget = RetryBudget(successesPerRetry = 10, capacity = 10)
         val atFirst = (1..100).count { budget.trySpend() }
         repeat(50) { budget.recordSuccess() }
         val afterwards = (1..100).count { budget.trySpend() }
