--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/Problem.kt
@@ -0,0 +1,130 @@
+package dev.kumquatknot.proxy.caller
+
+import dev.kumquatknot.core.identity.RequestId
+import dev.kumquatknot.core.outcome.Effect
+import dev.kumquatknot.core.outcome.Failure
+import dev.kumquatknot.core.outcome.FailureReason
+import dev.kumquatknot.core.outcome.Peer
+import dev.kumquatknot.core.outcome.Step
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.http4k.core.Response
+import org.http4k.core.Status
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/**
+ * Problem details of a failed request (RFC 9457).
+ *
+ * @property type last part of the problem's URN, stable across versions.
+ * @property failure what failed, where, and what is known of the effect.
+ */
+internal data class Problem(val type: String, val status: Int, val failure: Failure) {
+    /** Returns the answer to [request]. */
+    fun toResponse(request: RequestId): Response {
+        val response =
+            Response(Status(status, title()))
+                .header("Content-Type", CONTENT_TYPE)
+                .body(Json.encodeToString(JsonObject.serializer(), details(request)))
+        return failure.retryAfter?.let { response.header("Retry-After", it.wholeSeconds().toString()) } ?: response
+    }
+
+    private fun details(request: RequestId): JsonObject =
+        buildJsonObject {
+            put("type", "$URN_PREFIX$type")
+            put("title", title())
+            put("status", status)
+            put("detail", failure.detail)
+            put("instance", request.value)
+            put("step", failure.step.label())
+            put("peer", failure.peer.label())
+            put("effect", failure.effect.label())
+            failure.retryAfter?.let { put("retryAfterMilliseconds", it.inWholeMilliseconds) }
+        }
+
+    private fun title(): String = type.replace('-', ' ').replaceFirstChar { it.uppercase() }
+
+    private fun Duration.wholeSeconds(): Long {
+        val seconds = toLong(DurationUnit.SECONDS)
+        return if (inWholeMilliseconds % MILLIS_PER_SECOND == 0L) seconds else seconds + 1
+    }
+
+    companion object {
+        const val CONTENT_TYPE = "application/problem+json"
+        const val URN_PREFIX = "urn:kumquatknot:problem:"
+        private const val MILLIS_PER_SECOND = 1_000L
+        private const val BAD_REQUEST = 400
+        private const val UNAUTHORIZED = 401
+        private const val FORBIDDEN = 403
+        private const val NOT_FOUND = 404
+        private const val METHOD_NOT_ALLOWED = 405
+        private const val CONFLICT = 409
+        private const val CONTENT_TOO_LARGE = 413
+        private const val UNPROCESSABLE = 422
+        private const val TOO_MANY_REQUESTS = 429
+        private const val INTERNAL_ERROR = 500
+        private const val BAD_GATEWAY = 502
+        private const val UNAVAILABLE = 503
+        private const val GATEWAY_TIMEOUT = 504
+
+        /** Returns the problem that tells a caller of [failure]. */
+        fun of(failure: Failure): Problem = Problem(failure.reason.label(), statusOf(failure), failure)
+
+        /** Returns the problem of a request that names a team, database or kind that is [missing]. */
+        fun missing(missing: String, step: Step, detail: String): Problem =
+            Problem("unknown-$missing", NOT_FOUND, refused(FailureReason.INVALID_REQUEST, step, detail))
+
+        /** Returns the problem of a method that the route does not serve. */
+        fun methodNotAllowed(detail: String): Problem =
+            Problem(
+                "method-not-allowed",
+                METHOD_NOT_ALLOWED,
+                refused(FailureReason.INVALID_REQUEST, Step.PARSE, detail),
+            )
+
+        /** Returns the problem of a request during which the node broke: its effect is unknown. */
+        fun internal(): Problem {
+            val detail = "the VM met an unexpected error"
+            val failure = Failure(FailureReason.CONNECTION_LOST, Effect.UNKNOWN, Step.EXECUTE, Peer.Local, detail)
+            return Problem("internal-error", INTERNAL_ERROR, failure)
+        }
+
+        /** Returns a failure of the caller's own making, found before anything ran. */
+        fun refused(reason: FailureReason, step: Step, detail: String): Failure =
+            Failure(reason, Effect.NOT_RUN, step, Peer.Caller, detail)
+
+        private fun statusOf(failure: Failure): Int =
+            when (failure.reason) {
+                FailureReason.INVALID_REQUEST, FailureReason.KEY_REQUIRED, FailureReason.INVALID_TOKEN -> BAD_REQUEST
+                FailureReason.UNAUTHENTICATED -> UNAUTHORIZED
+                FailureReason.FORBIDDEN -> FORBIDDEN
+                FailureReason.UNKNOWN_KIND -> NOT_FOUND
+                FailureReason.TRANSACTION_ENDED -> CONFLICT
+                FailureReason.TOO_LARGE -> CONTENT_TOO_LARGE
+                FailureReason.STATEMENT_FAILED, FailureReason.KEY_REUSED -> UNPROCESSABLE
+                FailureReason.DEADLINE_PASSED, FailureReason.UNCONFIRMED -> GATEWAY_TIMEOUT
+                else -> if (failure.effect == Effect.NOT_RUN) refusalStatus(failure.reason) else BAD_GATEWAY
+            }
+
+        private fun refusalStatus(reason: FailureReason): Int =
+            when (reason) {
+                FailureReason.OVERLOADED, FailureReason.DEADLINE_UNREACHABLE -> TOO_MANY_REQUESTS
+                else -> UNAVAILABLE
+            }
+    }
+}
+
+/** Returns the name of a constant as callers see it: lower case with hyphens. */
+internal fun Enum<*>.label(): String = name.lowercase().replace('_', '-')
+
+/** Returns the other end of a failure as callers see it. */
+internal fun Peer.label(): String =
+    when (this) {
+        Peer.Caller -> "caller"
+        Peer.Local -> "local"
+        Peer.Platform -> "platform"
+        is Peer.Vm -> "vm:$name"
+        is Peer.Member -> "member:$name"
+    }
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
@@ -0,0 +1,39 @@
+package dev.kumquatknot.proxy.event
+
+import io.github.oshai.kotlinlogging.Level
+
+/**
+ * Catalogue of the events that a node logs. A number is never given to another event; `docs/EVENTS.md` lists them all.
+ *
+ * @property number identity of the event, stable across versions; the hundreds group the events by topic.
+ * @property text what happened, without variable parts; those stand in the fields of the log line.
+ */
+public enum class Event(public val number: Int, public val level: Level, public val text: String) {
+    NODE_STARTED(100, Level.INFO, "The node has started"),
+    NODE_STOPPING(101, Level.INFO, "The node is stopping and takes no new work"),
+    NODE_STOPPED(102, Level.INFO, "The node has stopped"),
+    NODE_STOP_FORCED(103, Level.WARN, "The time for a graceful stop has passed with requests in flight"),
+    CONFIGURATION_ACCEPTED(200, Level.INFO, "A configuration is in force"),
+    CONFIGURATION_REFUSED(201, Level.WARN, "A configuration was refused; the last one stays in force"),
+    STORE_UNAVAILABLE(210, Level.WARN, "The platform's object API does not answer"),
+    STORE_AVAILABLE(211, Level.INFO, "The platform's object API answers again"),
+    PEER_LOST(220, Level.WARN, "Another VM does not answer"),
+    PEER_FOUND(221, Level.INFO, "Another VM answers"),
+    VM_LEAVING(222, Level.INFO, "A VM is leaving and gets no new work"),
+    PRIMARY_LOST(300, Level.WARN, "A primary does not answer or is no longer followed by a majority"),
+    PROMOTION_STARTED(301, Level.INFO, "A promotion has started"),
+    PROMOTION_WON(302, Level.INFO, "A promotion has succeeded; the group has a new primary"),
+    PROMOTION_LOST(303, Level.INFO, "A promotion has ended without effect"),
+    MEMBER_UNREACHABLE(310, Level.WARN, "A member does not answer"),
+    MEMBER_REACHABLE(311, Level.INFO, "A member answers again"),
+    GATEWAY_TAKEN(320, Level.INFO, "This VM now holds the connections of a member"),
+    GATEWAY_GIVEN_UP(321, Level.INFO, "This VM no longer holds the connections of a member"),
+    CONNECTION_SILENT(330, Level.WARN, "A connection was dropped because it stayed silent past its deadline"),
+    TRANSACTION_ENDED(340, Level.INFO, "An interactive transaction was ended by the node"),
+    OVERLOAD_BEGAN(400, Level.WARN, "Work is refused because of overload"),
+    OVERLOAD_ENDED(401, Level.INFO, "No more work is refused because of overload"),
+    OUTCOME_UNKNOWN(410, Level.WARN, "A request ended with unknown outcome"),
+    REQUEST_BROKEN(411, Level.ERROR, "A request ended by an unexpected error of the node"),
+    CALLER_REJECTED(420, Level.INFO, "A caller could not prove its team"),
+    SERVER_LISTENING(430, Level.INFO, "A server accepts connections"),
+}
