Add the stand-in database group

A failover, a superseded primary and a silent connection need members that behave as such in tests and trial runs.

Each member holds terms, a log and an embedded H2 engine that change together; replicas run the logged statements again. Fault switches isolate, stop, silence, delay and slow a member.

--- /dev/null
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseStandinSettings.kt
@@ -0,0 +1,82 @@
+package dev.kumquatknot.standin.database
+
+import dev.kumquatknot.core.configuration.DatabaseConfiguration
+import dev.kumquatknot.core.identity.DataCentre
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Settings of one stand-in database group.
+ *
+ * @property database the group; its first member is the first primary, in term 1. Port 0 in a member's address takes a
+ * free port.
+ * @property schema statements that the first primary runs as its first transaction.
+ * @property seed seed of what a fault switch leaves to chance.
+ */
+@Serializable
+public data class DatabaseStandinSettings(
+    val database: DatabaseConfiguration,
+    val timing: DatabaseTiming = DatabaseTiming(),
+    val schema: List<String> = emptyList(),
+    val seed: Long = 1,
+) {
+    /** Returns what is wrong with these settings, one sentence each; empty when they are usable. */
+    public fun problems(): List<String> = buildList {
+        if (database.members.isEmpty()) add("database.members: at least one member is needed.")
+        val names = database.members.map { it.name }
+        names.groupingBy { it }.eachCount().filterValues { it > 1 }.keys.forEach {
+            add("database.members: the name $it stands twice; give each member a name of its own.")
+        }
+        database.members.filter {
+            it.slots < 1
+        }.forEach { add("database.members.${it.name}.slots: must be at least 1.") }
+        database.members.filter { it.connections < 1 }.forEach {
+            add("database.members.${it.name}.connections: must be at least 1.")
+        }
+        addAll(timing.problems())
+    }
+}
+
+/**
+ * Times of a stand-in database group.
+ *
+ * @property connectMillis time that opening a connection takes.
+ * @property serviceMicros time that a batch occupies its slot, on top of running its statements.
+ * @property replicationLagMillis time after the commit before which a replica does not show an entry.
+ * @property dataCentreLatencyMillis one-way latency between members in different data centres.
+ * @property lockTimeoutMillis time that a transaction waits for the write lock.
+ * @property slotTimeoutMillis time that a batch waits for a slot.
+ * @property idleTransactionMillis time after which a transaction without a further batch is rolled back.
+ */
+@Serializable
+public data class DatabaseTiming(
+    val connectMillis: Long = 10,
+    val serviceMicros: Long = 2_000,
+    val replicationLagMillis: Long = 5,
+    val dataCentreLatencyMillis: Long = 1,
+    val lockTimeoutMillis: Long = 1_000,
+    val slotTimeoutMillis: Long = 5_000,
+    val idleTransactionMillis: Long = 10_000,
+) {
+    internal val connect: Duration get() = connectMillis.milliseconds
+    internal val service: Duration get() = serviceMicros.microseconds
+    internal val replicationLag: Duration get() = replicationLagMillis.milliseconds
+    internal val lockTimeout: Duration get() = lockTimeoutMillis.milliseconds
+    internal val slotTimeout: Duration get() = slotTimeoutMillis.milliseconds
+    internal val idleTransaction: Duration get() = idleTransactionMillis.milliseconds
+
+    internal fun latency(from: DataCentre, to: DataCentre): Duration =
+        if (from == to) Duration.ZERO else dataCentreLatencyMillis.milliseconds
+
+    internal fun problems(): List<String> = listOf(
+        "connectMillis" to connectMillis,
+        "serviceMicros" to serviceMicros,
+        "replicationLagMillis" to replicationLagMillis,
+        "dataCentreLatencyMillis" to dataCentreLatencyMillis,
+        "lockTimeoutMillis" to lockTimeoutMillis,
+        "slotTimeoutMillis" to slotTimeoutMillis,
+        "idleTransactionMillis" to idleTransactionMillis,
+    ).filter { it.second < 0 }.map { "timing.${it.first}: must not be negative." }
+}
--- /dev/null
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DirectMemberPort.kt
@@ -0,0 +1,97 @@
+package dev.kumquatknot.standin.database
+
+import arrow.core.Either
+import arrow.core.left
+import dev.kumquatknot.core.identity.VmName
+import dev.kumquatknot.core.member.BatchEnd
+import dev.kumquatknot.core.member.BatchReply
+import dev.kumquatknot.core.member.MemberConnection
+import dev.kumquatknot.core.member.MemberFailure
+import dev.kumquatknot.core.member.MemberPort
+import dev.kumquatknot.core.member.MemberReport
+import dev.kumquatknot.core.member.StatementBatch
+import dev.kumquatknot.core.outcome.Step
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+
+/** Calls a [MemberEndpoint] within the process, with the timeouts of a network. */
+internal class DirectMemberPort(private val endpoint: MemberEndpoint, private val vm: VmName) {
+    private val name = endpoint.member.name
+    private val controlTransport = AtomicLong(endpoint.openTransport())
+
+    fun port(): MemberPort = MemberPort(
+        member = name,
+        connect = ::connect,
+        report = { timeout -> control(Step.PROBE, timeout) { t, answer -> endpoint.report(vm, t, answer) } },
+        acceptTerm = { proposal, timeout ->
+            control(Step.PROMOTE, timeout) { t, answer -> endpoint.acceptTerm(vm, t, proposal, answer) }
+        },
+        promote = { proposal, timeout ->
+            control(Step.PROMOTE, timeout) { t, answer -> endpoint.promote(vm, t, proposal, answer) }
+        },
+        follow = { term, primary, timeout ->
+            control(Step.PROMOTE, timeout) { t, answer -> endpoint.follow(vm, t, term, primary, answer) }
+        },
+    )
+
+    private fun connect(timeout: Duration): Either<MemberFailure, MemberConnection> {
+        val lost = CompletableFuture<String>()
+        val opened = CompletableFuture<Either<MemberFailure, MemberSession>>()
+        endpoint.connect(vm, endpoint.openTransport(), { lost.complete(it) }) { opened.complete(it) }
+        val session = opened.within(timeout)
+        if (session == null) {
+            opened.thenAccept { late -> late.onRight(endpoint::close) }
+            return MemberFailure.Unreachable(name, Step.CONNECT, "no connection within $timeout").left()
+        }
+        return session.map { DirectConnection(endpoint, it, lost) }
+    }
+
+    private fun control(
+        step: Step,
+        timeout: Duration,
+        call: (Long, AnswerControl) -> Unit,
+    ): Either<MemberFailure, MemberReport> {
+        val transport = controlTransport.get()
+        val answer = CompletableFuture<Either<MemberFailure, MemberReport>>()
+        call(transport) { answer.complete(it) }
+        answer.within(timeout)?.let { return it }
+        controlTransport.compareAndSet(transport, endpoint.openTransport())
+        return MemberFailure.NoAnswer(name, step, "no answer within $timeout").left()
+    }
+}
+
+private class DirectConnection(
+    private val endpoint: MemberEndpoint,
+    private val session: MemberSession,
+    private val lost: CompletableFuture<String>,
+) : MemberConnection {
+    private val member = endpoint.member.name
+
+    @Volatile
+    private var usable = true
+
+    override fun run(batch: StatementBatch, timeout: Duration): Either<MemberFailure, BatchReply> {
+        val step = if (batch.end == BatchEnd.COMMIT) Step.COMMIT else Step.EXECUTE
+        if (!usable || lost.isDone) return MemberFailure.Unreachable(member, step, "the connection is closed").left()
+        val answer = CompletableFuture<Either<MemberFailure, BatchReply>>()
+        lost.thenAccept { answer.complete(MemberFailure.NoAnswer(member, step, it).left()) }
+        session.submit(batch) { answer.complete(it) }
+        val outcome = answer.within(timeout) ?: MemberFailure.NoAnswer(member, step, "no answer within $timeout").left()
+        if (outcome is Either.Left && outcome.value is MemberFailure.NoAnswer) close()
+        return outcome
+    }
+
+    override fun close() {
+        usable = false
+        endpoint.close(session)
+    }
+}
+
+private fun <T> CompletableFuture<T>.within(timeout: Duration): T? = try {
+    get(timeout.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+} catch (_: TimeoutException) {
+    null
+}
--- /dev/null
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/GroupMember.kt
@@ -0,0 +1,196 @@
+package dev.kumquatknot.standin.database
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import dev.kumquatknot.core.configuration.MemberConfiguration
+import dev.kumquatknot.core.databasegroup.HistoryPoint
+import dev.kumquatknot.core.databasegroup.Term
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.member.MemberFailure
+import dev.kumquatknot.core.member.MemberReport
+import dev.kumquatknot.core.member.MemberRole
+import dev.kumquatknot.core.member.Statement
+import dev.kumquatknot.core.member.TermProposal
+import dev.kumquatknot.core.outcome.Step
+import java.util.concurrent.Semaphore
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** An open transaction: its engine session, and the point that its snapshot shows. */
+internal class OpenTransaction(val sql: SqlSession, val point: HistoryPoint) {
+    val changes: MutableList<Statement> = mutableListOf()
+    var changedSchema: Boolean = false
+    var writing: Boolean = false
+}
+
+/** What a replica tells its primary when it asks for entries. */
+internal class ReplicaState(val term: Term, val primary: MemberName, val spans: List<TermSpan>)
+
+/** Entries that follow the part of the log that replica and primary share. */
+internal class LogPage(val commonPosition: Long, val entries: List<LogEntry>)
+
+/**
+ * State of one member: terms, log and engine, which change together.
+ *
+ * Lock order: [writeLock], then [slots], then the member's own lock, then the fault switches. A log entry and its
+ * effect in the engine appear together under the member's own lock.
+ */
+internal class GroupMember(
+    val configuration: MemberConfiguration,
+    val faults: FaultSwitches,
+    private val runtime: GroupRuntime,
+    private val createEngine: () -> SqlEngine,
+    private val onAppend: () -> Unit,
+) : AutoCloseable {
+    val name: MemberName = configuration.name
+    val writeLock: Semaphore = Semaphore(1, true)
+    val slots: Semaphore = Semaphore(configuration.slots, true)
+
+    private val lock = ReentrantLock()
+    private val terms = TermState()
+    private val log = MemberLog()
+    private var engine = createEngine()
+    private var applier = engine.open()
+    private var lastContact = runtime.clock.elapsed()
+
+    fun report(): MemberReport = lock.withLock {
+        val contactAge = if (terms.role == MemberRole.PRIMARY) null else runtime.clock.elapsed() - lastContact
+        MemberReport(name, terms.role, terms.acceptedTerm, log.last, contactAge)
+    }
+
+    fun acceptTerm(proposal: TermProposal): Either<MemberFailure, MemberReport> =
+        decide {
+            terms.accept(proposal).also {
+                if (it ==
+                    TermDecision.ACCEPTED
+                ) {
+                    lastContact = runtime.clock.elapsed()
+                }
+            }
+        }
+
+    fun promote(proposal: TermProposal): Either<MemberFailure, MemberReport> = decide {
+        terms.promote(proposal).also { if (it == TermDecision.ACCEPTED) append(proposal.term, emptyList()) }
+    }
+
+    fun follow(term: Term, primary: MemberName): Either<MemberFailure, MemberReport> {
+        if (primary == name) return lock.withLock { if (terms.servesChanges(term)) report().right() else notPrimary() }
+        return decide { terms.follow(term, primary) }
+    }
+
+    /** Why a batch in [term] may not run, or null. */
+    fun rejection(term: Term, changes: Boolean, step: Step): MemberFailure? = lock.withLock {
+        when {
+            terms.acceptedTerm > term -> MemberFailure.LowerTerm(name, step, terms.acceptedTerm)
+            changes && !terms.servesChanges(term) -> MemberFailure.NotPrimary(name, step, terms.acceptedTerm)
+            else -> null
+        }
+    }
+
+    /** Starts a transaction in [session], or in a new one where the engine has been replaced meanwhile. */
+    fun begin(session: SqlSession?): Either<SqlFailure, OpenTransaction> = lock.withLock {
+        val sql = if (session?.engine === engine) session else engine.open()
+        sql.begin().map { OpenTransaction(sql, log.last) }
+    }
+
+    /** Whether [transaction] still reads the newest data, so that it may start to change them. */
+    fun isCurrent(transaction: OpenTransaction): Boolean = lock.withLock { log.last == transaction.point }
+
+    /** Commits [transaction] in [term] while [allowed], and returns its point. */
+    fun commit(transaction: OpenTransaction, term: Term, allowed: () -> Boolean): Either<MemberFailure, HistoryPoint> =
+        lock.withLock {
+            val rejected = if (allowed()) rejection(term, transaction.writing, Step.COMMIT) else connectionLost()
+            if (rejected != null) return rejected.left()
+            transaction.sql.commit()
+                .mapLeft { MemberFailure.StatementFailed(name, it.sqlState, it.detail) }
+                .map { if (transaction.changes.isEmpty()) transaction.point else append(term, transaction.changes) }
+        }
+
+    /** Puts the state of the log back after a rolled-back change of the schema. Needs the write lock. */
+    fun rebuild(): Unit = lock.withLock {
+        engine.close()
+        engine = createEngine()
+        applier = engine.open()
+        log.all.forEach { applyToEngine(it) }
+    }
+
+    fun replicaState(): ReplicaState? = lock.withLock {
+        terms.followed?.let { ReplicaState(terms.acceptedTerm, it, log.termSpans()) }
+    }
+
+    /** Returns the entries that [replica] lacks, or null where this member isn't the primary of its term. */
+    fun page(replica: ReplicaState): LogPage? = lock.withLock {
+        if (!terms.servesChanges(replica.term)) return null
+        val common = log.commonPosition(replica.spans)
+        LogPage(common, log.after(common))
+    }
+
+    /** Takes over [page] as long as [replica] still describes this member, and tells how many entries were applied. */
+    fun take(replica: ReplicaState, page: LogPage): Int {
+        val waitMillis = runtime.timing.lockTimeoutMillis
+        if (!writeLock.tryAcquire(waitMillis, TimeUnit.MILLISECONDS)) return 0
+        try {
+            if (!prepare(replica, page.commonPosition)) return 0
+            return page.entries.takeWhile { applyFrom(replica, it) }.size
+        } finally {
+            writeLock.release()
+        }
+    }
+
+    /** Runs [action] while no transaction can commit. */
+    fun <T> withoutCommits(action: () -> T): T = lock.withLock(action)
+
+    override fun close(): Unit = lock.withLock { engine.close() }
+
+    private fun prepare(replica: ReplicaState, commonPosition: Long): Boolean = lock.withLock {
+        if (!follows(replica)) return false
+        lastContact = runtime.clock.elapsed()
+        if (log.truncateAfter(commonPosition)) rebuild()
+        true
+    }
+
+    private fun applyFrom(replica: ReplicaState, entry: LogEntry): Boolean = lock.withLock {
+        if (!follows(replica)) return false
+        applyToEngine(entry)
+        log.append(entry)
+        true
+    }
+
+    private fun follows(replica: ReplicaState) =
+        terms.acceptedTerm == replica.term && terms.followed == replica.primary
+
+    private fun applyToEngine(entry: LogEntry) {
+        if (entry.changes.isEmpty()) return
+        applier.begin()
+            .flatMap { runChanges(entry) }
+            .flatMap { applier.commit() }
+            .onLeft { error("$name can't apply entry ${entry.point}: ${it.sqlState} ${it.detail}") }
+    }
+
+    private fun runChanges(entry: LogEntry): Either<SqlFailure, Unit> {
+        entry.changes.forEach { change -> applier.run(change, readOnly = false).onLeft { return it.left() } }
+        return Unit.right()
+    }
+
+    private fun append(term: Term, changes: List<Statement>): HistoryPoint {
+        val entry = LogEntry(log.next(term), changes.toList(), runtime.clock.elapsed())
+        log.append(entry)
+        onAppend()
+        return entry.point
+    }
+
+    private fun decide(decision: () -> TermDecision): Either<MemberFailure, MemberReport> = lock.withLock {
+        when (decision()) {
+            TermDecision.ACCEPTED, TermDecision.UNCHANGED -> report().right()
+            TermDecision.SUPERSEDED -> MemberFailure.LowerTerm(name, Step.PROMOTE, terms.acceptedTerm).left()
+            TermDecision.NOT_ACCEPTED -> notPrimary()
+        }
+    }
+
+    private fun notPrimary() = MemberFailure.NotPrimary(name, Step.PROMOTE, terms.acceptedTerm).left()
+
+    private fun connectionLost() = MemberFailure.NoAnswer(name, Step.COMMIT, "the connection is lost")
+}
--- /dev/null
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/SqlStates.kt
@@ -0,0 +1,11 @@
+package dev.kumquatknot.standin.database
+
+/** SQLSTATE codes that the stand-in gives by itself. */
+internal object SqlStates {
+    const val NOT_SUPPORTED = "0A000"
+    const val READ_ONLY_TRANSACTION = "25006"
+    const val SERIALIZATION_FAILURE = "40001"
+    const val LOCK_NOT_AVAILABLE = "55P03"
+    const val STATEMENT_TIMEOUT = "57014"
+    const val INTERNAL_ERROR = "XX000"
+}
