--- /dev/null
+++ b/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/settings/NodeSettings.kt
@@ -0,0 +1,44 @@
+package dev.kumquatknot.operations.settings
+
+import dev.kumquatknot.core.identity.DataCentre
+import dev.kumquatknot.core.identity.VmName
+
+/** How a node reaches the members of the database groups. */
+public sealed interface DatabaseAdapter {
+    /** The stand-in database of this project. */
+    public data object StandIn : DatabaseAdapter
+
+    /**
+     * PostgreSQL over JDBC.
+     *
+     * @property user role that the node logs in as.
+     * @property passwordVariable environment variable that holds the password; the password itself stands in no file.
+     */
+    public data class PostgreSql(val user: String, val passwordVariable: String) : DatabaseAdapter
+}
+
+/**
+ * Settings of one node of the proxy. Addresses are an IP number and a port.
+ *
+ * @property vm name of the VM; a replaced VM comes back under a new one.
+ * @property callerAddress address at which callers send requests; port 0 lets the system choose.
+ * @property operatorAddress address of the operators' pages.
+ * @property nodeAddress address at which the node serves other nodes.
+ * @property platformAddress address of the platform's object API.
+ * @property workers threads that serve requests.
+ */
+public data class NodeSettings(
+    val vm: VmName,
+    val dataCentre: DataCentre,
+    val callerAddress: String,
+    val operatorAddress: String,
+    val nodeAddress: String,
+    val platformAddress: String,
+    val databaseAdapter: DatabaseAdapter,
+    val workers: Int,
+) {
+    public companion object {
+        /** Number of workers of a node whose settings name none. */
+        public const val DEFAULT_WORKERS: Int = 64
+    }
+}
