Serve the stand-in database over gRPC and add its adapter

Proxies run in other processes than the members, so the member port needs a network behind it.

Each database connection is one stream on a network connection of its own; answers are matched by request identity, and a connection with an unanswered request is closed. Control calls leave a connection that gives no answer. Replicas hold the schema from the start, whatever their lag.

--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseGroup.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseGroup.kt
@@ -16,7 +16,8 @@
 
 /**
  * A stand-in database group in this process: members with terms, logs and asynchronous replication over an embedded
- * SQL engine, and fault switches. The first member starts as primary in term 1 and the others follow it.
+ * SQL engine, and fault switches. The first member starts as primary in term 1; the others follow it and hold the
+ * schema from the start.
  *
  * Usable directly through [port], or over gRPC through [DatabaseGroupServer].
  *
@@ -95,6 +96,7 @@
         first.promote(proposal)
         members.values.drop(1).forEach { it.follow(FIRST_TERM, first.name) }
         if (settings.schema.isNotEmpty()) createSchema(first)
+        members.values.forEach { replication.pull(it, delayed = false) }
     }
 
     private fun createSchema(first: GroupMember) {
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/Replication.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/Replication.kt
@@ -17,15 +17,15 @@
 ) {
     private val pulls = members.mapValues { ReentrantLock() }
 
-    /** Lets [replica] take over what is visible to it now. */
-    fun pull(replica: GroupMember): PullResult = pulls.getValue(replica.name).withLock {
+    /** Lets [replica] take over what is visible to it now, or everything where not [delayed]. */
+    fun pull(replica: GroupMember, delayed: Boolean = true): PullResult = pulls.getValue(replica.name).withLock {
         val state = replica.replicaState()
         val primary = state?.let { members[it.primary] }
         if (primary == null || !replica.faults.reachableByMembers || !primary.faults.reachableByMembers) return NOTHING
         val page = primary.page(state) ?: return NOTHING
         val delay = replica.faults.replicationLag +
             timing.latency(primary.configuration.dataCentre, replica.configuration.dataCentre)
-        val visible = page.entries.takeWhile { it.committedAt + delay <= clock.elapsed() }
+        val visible = page.entries.takeWhile { !delayed || it.committedAt + delay <= clock.elapsed() }
         val hidden = page.entries.getOrNull(visible.size)
         val applied = replica.take(state, LogPage(page.commonPosition, visible))
         PullResult(applied, hidden?.let { (it.committedAt + delay - clock.elapsed()).coerceAtLeast(Duration.ZERO) })
--- /dev/null
+++ b/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/database/DatabaseGroupServerSpec.kt
@@ -0,0 +1,166 @@
+package dev.kumquatknot.standin.database
+
+import dev.kumquatknot.core.databasegroup.Term
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.identity.VmName
+import dev.kumquatknot.core.member.BatchEnd
+import dev.kumquatknot.core.member.MemberFailure
+import dev.kumquatknot.core.member.MemberRole
+import dev.kumquatknot.core.member.SqlValue
+import dev.kumquatknot.core.member.Statement
+import dev.kumquatknot.core.member.TermProposal
+import dev.kumquatknot.core.outcome.Step
+import dev.kumquatknot.proxy.adapter.standin.StandinMembers
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.milliseconds
+
+class DatabaseGroupServerSpec {
+    private val settings = groupSettings()
+    private val group = DatabaseGroup(settings, ManualClock()) {}
+    private val server = DatabaseGroupServer(group, settings.database.members).apply { start() }
+    private val adapter = StandinMembers(vm)
+    private val otherAdapter = StandinMembers(otherVm)
+    private val short = 300.milliseconds
+
+    @AfterEach
+    fun close() {
+        adapter.close()
+        otherAdapter.close()
+        server.close()
+        group.close()
+    }
+
+    private fun port(member: MemberName, from: VmName = vm) =
+        (if (from == vm) adapter else otherAdapter).port(server.addresses().single { it.name == member })
+
+    private fun connect(member: MemberName, from: VmName = vm) = port(member, from).connect(patience).value()
+
+    @Nested
+    inner class `a connection` {
+        @Test
+        fun `carries statements, parameters and results`() {
+            val values = listOf(SqlValue.Integer(-7), SqlValue.Text("O'Hara"), SqlValue.Bool(true), SqlValue.Null)
+            val text = "SELECT CAST(? AS BIGINT) n, CAST(? AS VARCHAR) t, CAST(? AS BOOLEAN) f, CAST(? AS VARCHAR) x"
+            val batch = batch(1, readOnly = true).copy(statements = listOf(Statement(text, values)))
+            val result = connect(a).send(batch).value().results.single()
+            expectThat(result.columns).containsExactly("n", "t", "f", "x")
+            expectThat(result.rows).containsExactly(listOf(values))
+        }
+
+        @Test
+        fun `keeps a transaction open between batches`() {
+            val connection = connect(a)
+            connection.send(insert(1, end = BatchEnd.KEEP_OPEN)).value()
+            expectThat(connect(a).ids(1)).isEmpty()
+            expectThat(connection.send(batch(1)).value().point).isEqualTo(group.report(a).lastEntry)
+            expectThat(connect(a).ids(1)).containsExactly(1L)
+        }
+
+        @Test
+        fun `brings typed failures`() {
+            expectThat(connect(b).send(insert(1)).failure()).isA<MemberFailure.NotPrimary>()
+            expectThat(connect(a).send(batch(1, "SELECT nothing", readOnly = true)).failure())
+                .isA<MemberFailure.StatementFailed>().get { sqlState }.isEqualTo("42S22")
+            port(a).acceptTerm(TermProposal(Term(2), vm), patience).value()
+            expectThat(connect(a).send(insert(1)).failure()).isEqualTo(
+                MemberFailure.LowerTerm(a, Step.COMMIT, Term(2)),
+            )
+        }
+
+        @Test
+        fun `is refused beyond the limit and freed by closing`() {
+            val connections = List(4) { connect(a) }
+            expectThat(port(a).connect(patience).failure()).isA<MemberFailure.TooManyConnections>()
+            connections.first().close()
+            val deadline = System.nanoTime() + patience.inWholeNanoseconds
+            var again = port(a).connect(patience)
+            while (again.isLeft() && System.nanoTime() < deadline) again = port(a).connect(patience)
+            again.value()
+        }
+
+        @Test
+        fun `is given up after a late answer, which reaches no later request`() {
+            group.set(a, MemberFault.DelayAnswers(2 * short.inWholeMilliseconds))
+            val late = connect(a)
+            expectThat(late.run(insert(1), short).failure()).isA<MemberFailure.NoAnswer>()
+            group.set(a, MemberFault.Heal)
+            expectThat(late.send(insert(2)).failure()).isA<MemberFailure.Unreachable>()
+            expectThat(connect(a).ids(1)).containsExactly(1L)
+        }
+
+        @Test
+        fun `ends at once when its member stops`() {
+            val connection = connect(a)
+            connection.send(insert(1, end = BatchEnd.KEEP_OPEN)).value()
+            group.set(a, MemberFault.Stop)
+            expectThat(connection.send(batch(1)).isLeft()).isEqualTo(true)
+            expectThat(port(a).connect(patience).failure()).isA<MemberFailure.Unreachable>()
+        }
+
+        @Test
+        fun `is unreachable where nobody listens`() {
+            val nowhere = server.addresses().first()
+            server.close()
+            expectThat(adapter.port(nowhere).connect(patience).failure()).isA<MemberFailure.Unreachable>()
+            expectThat(adapter.port(nowhere).report(patience).failure()).isA<MemberFailure.Unreachable>()
+        }
+
+        @Test
+        fun `falls silent for good while a new one works`() {
+            val silent = connect(a)
+            group.set(a, MemberFault.SilenceConnections)
+            expectThat(silent.run(batch(1, "SELECT 1", readOnly = true), short).failure())
+                .isA<MemberFailure.NoAnswer>()
+            expectThat(connect(a).ids(1)).isEmpty()
+        }
+    }
+
+    @Nested
+    inner class `the control calls` {
+        @Test
+        fun `run a failover`() {
+            val proposal = TermProposal(Term(2), vm)
+            listOf(b, c).forEach { port(it).acceptTerm(proposal, patience).value() }
+            expectThat(port(b).promote(proposal, patience).value()) {
+                get { role }.isEqualTo(MemberRole.PRIMARY)
+                get { primaryContactAge }.isEqualTo(null)
+            }
+            port(c).follow(Term(2), b, patience).value()
+            expectThat(port(c).report(patience).value()).isEqualTo(group.report(c))
+            connect(b).send(insert(1, term = 2)).value()
+        }
+
+        @Test
+        fun `go over a fresh connection after one without an answer`() {
+            val port = port(a)
+            port.report(patience).value()
+            group.set(a, MemberFault.SilenceConnections)
+            expectThat(port.report(short).failure()).isA<MemberFailure.NoAnswer>()
+            port.report(patience).value()
+        }
+
+        @Test
+        fun `get no answer where the VM is isolated`() {
+            group.set(a, MemberFault.IsolateFromVms(setOf(vm)))
+            expectThat(port(a).report(short).failure()).isA<MemberFailure.NoAnswer>()
+            expectThat(port(a).connect(short).failure()).isA<MemberFailure.Unreachable>()
+            port(a, otherVm).report(patience).value()
+        }
+    }
+
+    @Nested
+    inner class `the fault call` {
+        @Test
+        fun `sets a switch`() {
+            MemberFaultClient(server.addresses().first().address).use { it.set(MemberFault.IsolateFromVms(setOf(vm))) }
+            expectThat(port(a).report(short).failure()).isA<MemberFailure.NoAnswer>()
+        }
+    }
+}
