--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/Problem.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/Problem.kt
@@ -23,13 +23,17 @@
  */
 internal data class Problem(val type: String, val status: Int, val failure: Failure) {
     /** Returns the answer to [request]. */
-    fun toResponse(request: RequestId): Response {
-        val response =
-            Response(Status(status, title()))
-                .header("Content-Type", CONTENT_TYPE)
-                .body(Json.encodeToString(JsonObject.serializer(), details(request)))
-        return failure.retryAfter?.let { response.header("Retry-After", it.wholeSeconds().toString()) } ?: response
-    }
+    fun toResponse(request: RequestId): Response =
+        Response(Status(status, title()))
+            .header("Content-Type", CONTENT_TYPE)
+            .headers(hints())
+            .body(Json.encodeToString(JsonObject.serializer(), details(request)))
+
+    private fun hints(): List<Pair<String, String>> =
+        listOfNotNull(
+            failure.retryAfter?.let { "Retry-After" to it.wholeSeconds().toString() },
+            if (status == UNAUTHORIZED) "WWW-Authenticate" to "Bearer" else null,
+        )
 
     private fun details(request: RequestId): JsonObject =
         buildJsonObject {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServer.kt
@@ -102,8 +102,10 @@
         gates().forEach { it.drain(settings.lingerTime) }
         awaitConnections(settings.lingerTime + settings.stopTime)
         connections.close().awaitUninterruptibly()
-        listOf(acceptors, eventLoops, workers).forEach { it.shutdownGracefully(0, 1, TimeUnit.SECONDS) }
-        eventLoops.terminationFuture().awaitUninterruptibly(SHUTDOWN_MILLIS)
+        listOf(acceptors, eventLoops, workers).forEach {
+            it.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
+            it.terminationFuture().awaitUninterruptibly(SHUTDOWN_MILLIS)
+        }
         stopped.countDown()
         return this
     }
