--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
@@ -0,0 +1,142 @@
+package dev.kumquatknot.proxy.adapter.platform
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import dev.kumquatknot.core.platform.ListedVm
+import dev.kumquatknot.core.platform.ObjectStore
+import dev.kumquatknot.core.platform.ObjectVersion
+import dev.kumquatknot.core.platform.StoreFailure
+import dev.kumquatknot.core.platform.StoredObject
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.net.ConnectException
+import java.net.URI
+import java.net.URLEncoder
+import java.net.http.HttpClient
+import java.net.http.HttpConnectTimeoutException
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+/**
+ * [ObjectStore] over the platform's HTTP interface at [baseUri], such as `http://10.0.0.1:8080`.
+ *
+ * A call that could not connect is [StoreFailure.Refused]; one that was sent and got no usable answer is
+ * [StoreFailure.NoAnswer].
+ *
+ * @param timeout time that a call has, on top of what a watch waits.
+ */
+public class HttpObjectStore(private val baseUri: URI, private val timeout: Duration = 3.seconds) : ObjectStore {
+    private val client = HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(timeout.toJavaDuration())
+        .build()
+
+    override fun read(key: String): Either<StoreFailure, StoredObject?> =
+        send(request(objectUri(key)).GET()).flatMap { response ->
+            when (response.statusCode()) {
+                OK -> response.toObject(key)
+                NOT_FOUND -> null.right()
+                else -> response.toFailure(key).left()
+            }
+        }
+
+    override fun readAll(prefix: String): Either<StoreFailure, List<StoredObject>> =
+        send(request(uri("/objects?prefix=${encode(prefix)}")).GET()).flatMap { response ->
+            response.toList<ObjectJson>().map { found ->
+                found.map { StoredObject(it.key, ObjectVersion(it.version), it.value) }
+            }
+        }
+
+    override fun write(key: String, value: String, expected: ObjectVersion): Either<StoreFailure, StoredObject> {
+        val put = request(objectUri(key)).PUT(HttpRequest.BodyPublishers.ofString(value))
+        if (expected == ObjectVersion.ABSENT) {
+            put.header("If-None-Match", "*")
+        } else {
+            put.header("If-Match", "\"${expected.value}\"")
+        }
+        return send(put).flatMap { response ->
+            val version = response.objectVersion()
+            when {
+                response.statusCode() != OK -> response.toFailure(key).left()
+                version == null -> StoreFailure.NoAnswer("the answer to a write carries no version").left()
+                else -> StoredObject(key, version, value).right()
+            }
+        }
+    }
+
+    override fun watch(key: String, known: ObjectVersion, timeout: Duration): Either<StoreFailure, StoredObject?> {
+        val uri = URI("${objectUri(key)}?watch=true&known=${known.value}&timeout=${timeout.inWholeMilliseconds}")
+        return send(request(uri, this.timeout + timeout).GET()).flatMap { response ->
+            when (response.statusCode()) {
+                OK -> response.toObject(key)
+                NOT_MODIFIED -> null.right()
+                else -> response.toFailure(key).left()
+            }
+        }
+    }
+
+    override fun vms(): Either<StoreFailure, List<ListedVm>> =
+        send(request(uri("/vms")).GET()).flatMap { it.toList<ListedVm>() }
+
+    private fun send(request: HttpRequest.Builder): Either<StoreFailure, HttpResponse<String>> = try {
+        client.send(request.build(), HttpResponse.BodyHandlers.ofString()).right()
+    } catch (failure: ConnectException) {
+        StoreFailure.Refused("no connection: ${failure.message}").left()
+    } catch (_: HttpConnectTimeoutException) {
+        StoreFailure.Refused("no connection within $timeout").left()
+    } catch (failure: IOException) {
+        StoreFailure.NoAnswer(failure.message ?: failure.toString()).left()
+    } catch (_: InterruptedException) {
+        Thread.currentThread().interrupt()
+        StoreFailure.NoAnswer("the call was interrupted").left()
+    }
+
+    private fun request(uri: URI, within: Duration = timeout) =
+        HttpRequest.newBuilder(uri).timeout(within.toJavaDuration())
+
+    private fun objectUri(key: String) = uri("/objects/" + key.split('/').joinToString("/", transform = ::encode))
+
+    private fun uri(path: String) = URI(baseUri.toString().trimEnd('/') + path)
+
+    private fun encode(text: String) = URLEncoder.encode(text, Charsets.UTF_8).replace("+", "%20")
+
+    private fun HttpResponse<String>.objectVersion(): ObjectVersion? =
+        headers().firstValue("ETag").orElse("").trim('"').toLongOrNull()?.let(::ObjectVersion)
+
+    private fun HttpResponse<String>.toObject(key: String): Either<StoreFailure, StoredObject> =
+        objectVersion()?.let { StoredObject(key, it, body()).right() }
+            ?: StoreFailure.NoAnswer("the answer carries no version").left()
+
+    private inline fun <reified T> HttpResponse<String>.toList(): Either<StoreFailure, List<T>> = try {
+        if (statusCode() == OK) Json.decodeFromString<List<T>>(body()).right() else toFailure(null).left()
+    } catch (failure: SerializationException) {
+        StoreFailure.NoAnswer("the answer is no list: ${failure.message}").left()
+    }
+
+    private fun HttpResponse<String>.toFailure(key: String?): StoreFailure = when (statusCode()) {
+        PRECONDITION_FAILED ->
+            StoreFailure.Conflict(key?.let { k -> objectVersion()?.let { StoredObject(k, it, body()) } })
+        in refusals -> StoreFailure.Refused("status ${statusCode()}: ${body()}")
+        else -> StoreFailure.NoAnswer("status ${statusCode()}")
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_MODIFIED = 304
+        const val NOT_FOUND = 404
+        const val PRECONDITION_FAILED = 412
+        const val SERVICE_UNAVAILABLE = 503
+        val refusals = (400..499) + SERVICE_UNAVAILABLE
+    }
+}
+
+/** One object in the platform's list of a prefix. */
+@Serializable
+private data class ObjectJson(val key: String, val version: Long, val value: String)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/standin/StandinConnection.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/standin/StandinConnection.kt
@@ -69,10 +69,7 @@
         return outcome
     }
 
-    override fun close() {
-        end(Status.CANCELLED)
-        channel.shutdownNow()
-    }
+    override fun close(): Unit = end(Status.CANCELLED)
 
     override fun onNext(message: MemberMessage) {
         if (message.hasOpened()) {
@@ -99,6 +96,7 @@
             if (ended == null) ended = status
             pending
         }
+        channel.shutdownNow()
         opened.complete(status.toFailure(member, Step.CONNECT))
         unanswered?.let { it.answer.complete(noAnswer(it.step, status)) }
     }
--- a/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/database/DatabaseGroupServerSpec.kt
+++ b/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/database/DatabaseGroupServerSpec.kt
@@ -4,6 +4,7 @@
 import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.member.BatchEnd
+import dev.kumquatknot.core.member.MemberConnection
 import dev.kumquatknot.core.member.MemberFailure
 import dev.kumquatknot.core.member.MemberRole
 import dev.kumquatknot.core.member.SqlValue
@@ -28,9 +29,11 @@
     private val adapter = StandinMembers(vm)
     private val otherAdapter = StandinMembers(otherVm)
     private val short = 300.milliseconds
+    private val connections = mutableListOf<MemberConnection>()
 
     @AfterEach
     fun close() {
+        connections.forEach { it.close() }
         adapter.close()
         otherAdapter.close()
         server.close()
@@ -40,7 +43,10 @@
     private fun port(member: MemberName, from: VmName = vm) =
         (if (from == vm) adapter else otherAdapter).port(server.addresses().single { it.name == member })
 
-    private fun connect(member: MemberName, from: VmName = vm) = port(member, from).connect(patience).value()
+    private fun connect(member: MemberName, from: VmName = vm) = port(member, from).connect(patience).onRight {
+        connections +=
+            it
+    }.value()
 
     @Nested
     inner class `a connection` {
@@ -76,13 +82,13 @@
 
         @Test
         fun `is refused beyond the limit and freed by closing`() {
-            val connections = List(4) { connect(a) }
+            val open = List(4) { connect(a) }
             expectThat(port(a).connect(patience).failure()).isA<MemberFailure.TooManyConnections>()
-            connections.first().close()
+            open.first().close()
             val deadline = System.nanoTime() + patience.inWholeNanoseconds
             var again = port(a).connect(patience)
             while (again.isLeft() && System.nanoTime() < deadline) again = port(a).connect(patience)
-            again.value()
+            again.value().close()
         }
 
         @Test
