Add the client library and merge the tokens of parallel answers

Cause: callers need the token, the key, the deadline and the retry rules in one place; a session with parallel requests would lose what one of two answers has seen if it kept the last token alone.

--- /dev/null
+++ b/kumquatknot-client/src/main/kotlin/dev/kumquatknot/client/IdempotencyKey.kt
@@ -0,0 +1,25 @@
+package dev.kumquatknot.client
+
+import java.util.UUID
+
+/**
+ * Key of work that may not be repeated: 1 to 255 visible ASCII characters, unique within team and database group. Keep
+ * it with the order or booking that it belongs to, so that a restarted caller asks with the same one.
+ */
+@JvmInline
+public value class IdempotencyKey(public val value: String) {
+    init {
+        require(value.length in 1..MAXIMUM_LENGTH && value.all { it in '!'..'~' }) {
+            "an idempotency key has 1 to $MAXIMUM_LENGTH visible ASCII characters"
+        }
+    }
+
+    override fun toString(): String = value
+
+    public companion object {
+        private const val MAXIMUM_LENGTH = 255
+
+        /** Returns a new random key. */
+        public fun random(): IdempotencyKey = IdempotencyKey(UUID.randomUUID().toString())
+    }
+}
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/session/SessionToken.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/session/SessionToken.kt
@@ -30,4 +30,10 @@
 
     /** Returns this token after a primary that a majority still follows has answered for [database]. */
     public fun withResolved(database: DatabaseName): SessionToken = copy(unresolved = unresolved - database)
+
+    /** Returns the token of a session that has seen all that this one and [other] have. */
+    public fun mergedWith(other: SessionToken): SessionToken =
+        other.points.entries
+            .fold(this) { merged, (database, point) -> merged.advancedTo(database, point) }
+            .copy(unresolved = unresolved + other.unresolved)
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/RequestReader.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/RequestReader.kt
@@ -13,6 +13,7 @@
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.KindName
 import dev.kumquatknot.core.identity.RequestId
+import dev.kumquatknot.core.identity.TeamName
 import dev.kumquatknot.core.member.Statement
 import dev.kumquatknot.core.outcome.FailureReason
 import dev.kumquatknot.core.outcome.Step
@@ -63,15 +64,22 @@
             ensureNotNull(team) { unauthenticated("the key belongs to no team") }
         }
 
-    /** Returns the session token that the request carries; an empty one where it carries none. */
+    /**
+     * Returns the session token that the request carries, an empty one where it carries none. Several tokens, divided
+     * by commas, are merged: a session with parallel requests has seen what all their answers say.
+     */
     fun token(request: Request, team: TeamConfiguration): Either<Problem, SessionToken> =
         either {
-            val text = request.header(CallerHeaders.SESSION) ?: return@either SessionToken(team.name)
-            tokens.decode(text, team.name).mapLeft {
-                refused(FailureReason.INVALID_TOKEN, Step.AUTHENTICATE, it.detail)
-            }.bind()
+            val texts = request.headerValues(CallerHeaders.SESSION).flatMap { it.orEmpty().split(',') }
+            ensure(texts.size <= MAXIMUM_TOKENS) { invalid("more than $MAXIMUM_TOKENS session tokens were sent") }
+            texts.fold(SessionToken(team.name)) { merged, text -> merged.mergedWith(token(text.trim(), team.name)) }
         }
 
+    private fun Raise<Problem>.token(text: String, team: TeamName): SessionToken =
+        tokens.decode(text, team).mapLeft {
+            refused(FailureReason.INVALID_TOKEN, Step.AUTHENTICATE, it.detail)
+        }.bind()
+
     /** Returns the request for [operation] of [team], which arrived at [now]. */
     fun read(
         operation: Operation,
@@ -206,6 +214,7 @@
 
     private companion object {
         const val BEARER = "Bearer "
+        const val MAXIMUM_TOKENS = 16
         const val MAXIMUM_KEY_LENGTH = 255
         val KEY_CHARACTERS = '!'..'~'
     }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/CallerApiSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/CallerApiSpec.kt
@@ -1,7 +1,9 @@
 package dev.kumquatknot.proxy.caller
 
 import arrow.core.right
+import dev.kumquatknot.core.databasegroup.HistoryPoint
 import dev.kumquatknot.core.databasegroup.LogPosition
+import dev.kumquatknot.core.databasegroup.Term
 import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.member.SqlValue
@@ -14,6 +16,7 @@
 import dev.kumquatknot.core.request.IdempotencyKey
 import dev.kumquatknot.core.request.TransactionHandle
 import dev.kumquatknot.core.request.Work
+import dev.kumquatknot.core.session.SessionToken
 import dev.kumquatknot.proxy.caller.CallerApiFixture.Companion.DATABASE
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonObject
@@ -35,6 +38,7 @@
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
+import java.net.URLEncoder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -96,6 +100,19 @@
             expectThat(api.seen.single().token.pointOf(api.inventory).position).isEqualTo(LogPosition(5))
         }
 
+        @Test
+        fun `merges the tokens of parallel answers`() {
+            val seen =
+                SessionToken(
+                    api.pesebre,
+                    mapOf(api.inventory to HistoryPoint(Term(2), LogPosition(1))),
+                    setOf(api.courses),
+                )
+            val tokens = "${api.tokenOf(api.pesebre)}, ${api.tokens.encode(seen)}"
+            api.post("$DATABASE/read", "browse", "Kumquatknot-Session" to tokens)
+            expectThat(api.seen.single().token).isEqualTo(seen)
+        }
+
         @Test
         fun `is counted with its duration`() {
             api.answer = {
@@ -116,6 +133,14 @@
             expectThat(response.field("repeated")).isEqualTo("true")
             expectThat(api.seen.single().key).isEqualTo(IdempotencyKey("booking-1"))
         }
+
+        @Test
+        fun `reads every character that a key may have from the path`() {
+            val key = ('!'..'~').joinToString("")
+            val encoded = URLEncoder.encode(key, Charsets.UTF_8).replace("+", "%20")
+            api.get("$DATABASE/outcomes/$encoded", "book")
+            expectThat(api.seen.single().key).isEqualTo(IdempotencyKey(key))
+        }
     }
 
     @Nested
@@ -185,6 +210,14 @@
             expectThat(api.seen.single().work).isEqualTo(Work.Resolve)
             expectThat(api.seen.single().key).isEqualTo(IdempotencyKey("booking-1"))
         }
+
+        @Test
+        fun `reads every character that a key may have from the path`() {
+            val key = ('!'..'~').joinToString("")
+            val encoded = URLEncoder.encode(key, Charsets.UTF_8).replace("+", "%20")
+            api.get("$DATABASE/outcomes/$encoded", "book")
+            expectThat(api.seen.single().key).isEqualTo(IdempotencyKey(key))
+        }
     }
 
     @Nested
@@ -313,6 +346,14 @@
             "another team's token" to {
                 api.post("$DATABASE/read", "browse", "Kumquatknot-Session" to api.tokenOf(api.nile))
             },
+            "another team's token beside an own one" to {
+                val tokens = "${api.tokenOf(api.pesebre)},${api.tokenOf(api.nile)}"
+                api.post("$DATABASE/read", "browse", "Kumquatknot-Session" to tokens)
+            },
+            "too many tokens" to {
+                val tokens = List(17) { api.tokenOf(api.pesebre) }.joinToString(",")
+                api.post("$DATABASE/read", "browse", "Kumquatknot-Session" to tokens)
+            },
             "another team's transaction" to { api.post("$DATABASE/transactions/${api.handleOf(api.nile)}", null) },
             "transaction of another database" to {
                 api.post("$DATABASE/transactions/${api.handleOf(database = api.courses)}", null)
