Start the stand-ins from settings files

The command line starts platform and database groups as processes of their own; a typing error in their settings must show its field and start nothing.

--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseGroup.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseGroup.kt
@@ -44,7 +44,8 @@
     private var replicating = false
 
     init {
-        require(settings.problems().isEmpty()) { settings.problems().joinToString(" ") }
+        val problems = settings.problems("settings")
+        require(problems.isEmpty()) { problems.joinToString(" ") }
         startFirstTerm()
     }
 
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseStandinSettings.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseStandinSettings.kt
@@ -2,6 +2,9 @@
 
 import dev.kumquatknot.core.configuration.DatabaseConfiguration
 import dev.kumquatknot.core.identity.DataCentre
+import dev.kumquatknot.operations.document.Problem
+import dev.kumquatknot.standin.process.SettingsChecks
+import dev.kumquatknot.standin.process.isAddress
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
@@ -22,20 +25,27 @@
     val schema: List<String> = emptyList(),
     val seed: Long = 1,
 ) {
-    /** Returns what is wrong with these settings, one sentence each; empty when they are usable. */
-    public fun problems(): List<String> = buildList {
-        if (database.members.isEmpty()) add("database.members: at least one member is needed.")
-        val names = database.members.map { it.name }
-        names.groupingBy { it }.eachCount().filterValues { it > 1 }.keys.forEach {
-            add("database.members: the name $it stands twice; give each member a name of its own.")
+    /** Returns what is wrong with these settings, which came from [file]; empty when they are usable. */
+    public fun problems(file: String): List<Problem> {
+        val reporter = SettingsChecks(file)
+        reporter.check("$.database.members", database.members.size, database.members.isNotEmpty(), "name a member")
+        val names = database.members.groupingBy { it.name }.eachCount()
+        names.forEach { (name, count) ->
+            reporter.check("$.database.members", name, count == 1, "give each member a name of its own")
         }
-        database.members.filter {
-            it.slots < 1
-        }.forEach { add("database.members.${it.name}.slots: must be at least 1.") }
-        database.members.filter { it.connections < 1 }.forEach {
-            add("database.members.${it.name}.connections: must be at least 1.")
+        database.members.forEachIndexed { index, member ->
+            val field = "$.database.members[$index]"
+            reporter.check("$field.slots", member.slots, member.slots > 0, "give at least 1")
+            reporter.check("$field.connections", member.connections, member.connections > 0, "give at least 1")
+            reporter.check(
+                "$field.address",
+                member.address,
+                member.address.isAddress(),
+                "give host:port, port 0 for any",
+            )
         }
-        addAll(timing.problems())
+        timing.check(reporter)
+        return reporter.problems
     }
 }
 
@@ -70,13 +80,16 @@
     internal fun latency(from: DataCentre, to: DataCentre): Duration =
         if (from == to) Duration.ZERO else dataCentreLatencyMillis.milliseconds
 
-    internal fun problems(): List<String> = listOf(
-        "connectMillis" to connectMillis,
-        "serviceMicros" to serviceMicros,
-        "replicationLagMillis" to replicationLagMillis,
-        "dataCentreLatencyMillis" to dataCentreLatencyMillis,
-        "lockTimeoutMillis" to lockTimeoutMillis,
-        "slotTimeoutMillis" to slotTimeoutMillis,
-        "idleTransactionMillis" to idleTransactionMillis,
-    ).filter { it.second < 0 }.map { "timing.${it.first}: must not be negative." }
+    internal fun check(reporter: SettingsChecks) {
+        val fields = mapOf(
+            "connectMillis" to connectMillis,
+            "serviceMicros" to serviceMicros,
+            "replicationLagMillis" to replicationLagMillis,
+            "dataCentreLatencyMillis" to dataCentreLatencyMillis,
+            "lockTimeoutMillis" to lockTimeoutMillis,
+            "slotTimeoutMillis" to slotTimeoutMillis,
+            "idleTransactionMillis" to idleTransactionMillis,
+        )
+        fields.forEach { (name, value) -> reporter.check("$.timing.$name", value, value >= 0, "give 0 or more") }
+    }
 }
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformStandin.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformStandin.kt
@@ -36,7 +36,8 @@
     private var counted = PlatformCalls()
 
     init {
-        require(settings.problems().isEmpty()) { settings.problems().joinToString(" ") }
+        val problems = settings.problems("settings")
+        require(problems.isEmpty()) { problems.joinToString(" ") }
     }
 
     override fun read(key: String): Either<StoreFailure, StoredObject?> =
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformStandinSettings.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformStandinSettings.kt
@@ -1,6 +1,9 @@
 package dev.kumquatknot.standin.platform
 
 import dev.kumquatknot.core.platform.ListedVm
+import dev.kumquatknot.operations.document.Problem
+import dev.kumquatknot.standin.process.SettingsChecks
+import dev.kumquatknot.standin.process.portRange
 import kotlinx.serialization.Serializable
 
 /**
@@ -26,17 +29,15 @@
     val silenceMillis: Long = 5_000,
     val vms: List<ListedVm> = emptyList(),
 ) {
-    /** Returns what is wrong with these settings, one sentence each; empty when they are usable. */
-    public fun problems(): List<String> = buildList {
-        if (port !in 0..MAXIMUM_PORT) add("port: must be from 0 to $MAXIMUM_PORT.")
-        if (readsPerSecond < 1) add("readsPerSecond: must be at least 1.")
-        if (writesPerSecond < 1) add("writesPerSecond: must be at least 1.")
-        if (maximumValueBytes < 1) add("maximumValueBytes: must be at least 1.")
-        if (vmListLagMillis < 0) add("vmListLagMillis: must not be negative.")
-        if (silenceMillis < 0) add("silenceMillis: must not be negative.")
-    }
-
-    private companion object {
-        const val MAXIMUM_PORT = 65_535
+    /** Returns what is wrong with these settings, which came from [file]; empty when they are usable. */
+    public fun problems(file: String): List<Problem> {
+        val reporter = SettingsChecks(file)
+        reporter.check("$.port", port, port in portRange, "give a port of $portRange")
+        reporter.check("$.readsPerSecond", readsPerSecond, readsPerSecond > 0, "give at least 1")
+        reporter.check("$.writesPerSecond", writesPerSecond, writesPerSecond > 0, "give at least 1")
+        reporter.check("$.maximumValueBytes", maximumValueBytes, maximumValueBytes > 0, "give at least 1")
+        reporter.check("$.vmListLagMillis", vmListLagMillis, vmListLagMillis >= 0, "give 0 or more")
+        reporter.check("$.silenceMillis", silenceMillis, silenceMillis >= 0, "give 0 or more")
+        return reporter.problems
     }
 }
