--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/metric/NodeMetrics.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/metric/NodeMetrics.kt
@@ -31,6 +31,7 @@
             .name("kumquatknot_request_duration_seconds")
             .help("Time from the arrival of a request at this VM to its final answer")
             .labelNames("team", "kind", "rank", "outcome")
+            .classicOnly()
             .classicExponentialUpperBounds(SHORTEST_REQUEST_SECONDS, REQUEST_FACTOR, REQUEST_BUCKETS)
             .register(registry)
     private val reads =
@@ -74,6 +75,7 @@
             .name("kumquatknot_failover_duration_seconds")
             .help("Time from the last answer of the old primary to the first of the new one")
             .labelNames("database")
+            .classicOnly()
             .classicLinearUpperBounds(FAILOVER_WIDTH_SECONDS, FAILOVER_WIDTH_SECONDS, FAILOVER_BUCKETS)
             .register(registry)
     private val memberConnections =
