--- /dev/null
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/ConfirmationLedger.kt
@@ -0,0 +1,105 @@
+package dev.kumquatknot.core.databasegroup
+
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.time.Clock
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration
+
+/** What is known about the confirmation of a committed write. */
+public enum class Confirmation {
+    /** A majority holds the write in the term in which it was committed; every later primary has it. */
+    CONFIRMED,
+
+    /** A majority left the term before the confirmation was seen; the outcome is unknown. */
+    SUPERSEDED,
+
+    /** The deadline passed first; the outcome is unknown. */
+    DEADLINE,
+}
+
+/** Returns the point up to which a member confirms writes, or null where it confirms none. */
+public typealias ConfirmedPoint = (lastEntry: HistoryPoint, acceptedTerm: Term) -> HistoryPoint?
+
+/**
+ * Table of the positions that members have confirmed, one to a group. A write at (T, P) is confirmed when enough
+ * members besides its primary have reported that they hold position P or more of term T and have accepted no later
+ * term; with the primary they form a [majority].
+ *
+ * Thread-safe. Lock order: the table's own lock is the last one taken; nothing is called while it is held.
+ *
+ * @param onWaiting called when the first write begins to wait.
+ */
+public class ConfirmationLedger(
+    private val majority: Int,
+    private val clock: Clock,
+    private val confirmedPoint: ConfirmedPoint = ::pointConfirmedBy,
+    private val onWaiting: () -> Unit = {},
+) {
+    private val lock = ReentrantLock()
+    private val changed = lock.newCondition()
+    private var confirmed: Map<MemberName, Map<Term, LogPosition>> = emptyMap()
+    private var accepted: Map<MemberName, Term> = emptyMap()
+    private var waiting = 0
+
+    /** Records that [member] had [lastEntry] in its log while [acceptedTerm] was the highest term it had accepted. */
+    public fun observe(member: MemberName, lastEntry: HistoryPoint, acceptedTerm: Term): Unit = lock.withLock {
+        accepted = accepted + (member to maxOf(acceptedTerm, accepted[member] ?: Term(0)))
+        confirmedPoint(lastEntry, acceptedTerm)?.let { record(member, it) }
+        if (waiting > 0) changed.signalAll()
+    }
+
+    /** Returns what is known about the write that [primary] committed at [point], or null where it is still open. */
+    public fun confirmation(point: HistoryPoint, primary: MemberName): Confirmation? =
+        lock.withLock { decide(point, primary) }
+
+    /** Waits until the write that [primary] committed at [point] is decided, or until [deadline] of the clock. */
+    public fun await(point: HistoryPoint, primary: MemberName, deadline: Duration): Confirmation {
+        confirmation(point, primary)?.let { return it }
+        if (lock.withLock { waiting++ } == 0) onWaiting()
+        try {
+            return lock.withLock { awaitDecision(point, primary, deadline) }
+        } finally {
+            lock.withLock { waiting-- }
+        }
+    }
+
+    /** Whether any write waits. */
+    public fun hasWaiting(): Boolean = lock.withLock { waiting > 0 }
+
+    private fun awaitDecision(point: HistoryPoint, primary: MemberName, deadline: Duration): Confirmation {
+        while (true) {
+            decide(point, primary)?.let { return it }
+            val left = deadline - clock.elapsed()
+            if (!left.isPositive()) return Confirmation.DEADLINE
+            changed.await(left.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+        }
+    }
+
+    private fun decide(point: HistoryPoint, primary: MemberName): Confirmation? {
+        val holders = confirmed.count { (member, positions) ->
+            member != primary && (positions[point.term] ?: NO_POSITION) >= point.position
+        }
+        if (holders >= majority - 1) return Confirmation.CONFIRMED
+        val departed = accepted.count { (_, term) -> term > point.term }
+        return if (departed >= majority) Confirmation.SUPERSEDED else null
+    }
+
+    private fun record(member: MemberName, point: HistoryPoint) {
+        val known = confirmed[member].orEmpty()
+        val position = maxOf(point.position, known[point.term] ?: NO_POSITION)
+        val advanced = known + (point.term to position)
+        val kept = advanced.keys.sortedDescending().take(TERMS_KEPT).toSet()
+        confirmed = confirmed + (member to advanced.filterKeys { it in kept })
+    }
+
+    private companion object {
+        const val TERMS_KEPT = 4
+        val NO_POSITION = LogPosition(-1)
+    }
+}
+
+/** A member confirms the entries of the term that it has accepted, up to its last entry. */
+public fun pointConfirmedBy(lastEntry: HistoryPoint, acceptedTerm: Term): HistoryPoint? =
+    lastEntry.takeIf { it.term == acceptedTerm }
--- /dev/null
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/GroupView.kt
@@ -0,0 +1,48 @@
+package dev.kumquatknot.core.databasegroup
+
+import dev.kumquatknot.core.identity.DatabaseName
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.member.MemberReport
+import dev.kumquatknot.core.member.MemberRole
+import kotlinx.serialization.Serializable
+
+/**
+ * What a VM knows of a database group. It only goes forward: a lower term never replaces a higher one.
+ *
+ * @property term the highest term in which a primary was seen; 0 before the first one.
+ * @property primary the primary in [term].
+ * @property points last known point of each member; a hint for routing, not a proof.
+ */
+@Serializable
+public data class GroupView(
+    val database: DatabaseName,
+    val term: Term = Term(0),
+    val primary: MemberName? = null,
+    val points: Map<MemberName, HistoryPoint> = emptyMap(),
+) {
+    /** Returns this view after [report]. */
+    public fun after(report: MemberReport): GroupView {
+        val advanced = copy(points = points + (report.member to report.lastEntry))
+        val newer = report.servesAsPrimary && report.acceptedTerm > term
+        return if (newer) advanced.copy(term = report.acceptedTerm, primary = report.member) else advanced
+    }
+
+    /** Returns the union of this view and [other], which another VM has formed. The higher term wins. */
+    public fun merge(other: GroupView): GroupView {
+        if (other.database != database) return this
+        val newest = if (other.term > term) other else this
+        val members = points.keys + other.points.keys
+        val merged = members.associateWith { maxOf(pointOf(it), other.pointOf(it)) }
+        return newest.copy(points = merged)
+    }
+
+    /** Returns the last known point of [member]. */
+    public fun pointOf(member: MemberName): HistoryPoint = points[member] ?: HistoryPoint.START
+}
+
+/**
+ * Whether the member is a primary in the term that it has accepted. A primary that accepted a later term without
+ * being promoted in it lacks an entry of that term.
+ */
+public val MemberReport.servesAsPrimary: Boolean
+    get() = role == MemberRole.PRIMARY && lastEntry.term == acceptedTerm
