--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/GroupFailoverSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/GroupFailoverSpec.kt
@@ -63,7 +63,11 @@
         return next.ackedAt - lostAt
     }
 
-    private fun promotionsWithout(scenario: Long, deployment: Deployment, trouble: (GroupSimulation) -> Unit): List<String> {
+    private fun promotionsWithout(
+        scenario: Long,
+        deployment: Deployment,
+        trouble: (GroupSimulation) -> Unit,
+    ): List<String> {
         val simulation = healthy(scenario, deployment)
         val before = simulation.promotions.size
         trouble(simulation)
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/GroupSimulation.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/GroupSimulation.kt
@@ -31,7 +31,13 @@
     val incarnations: Boolean = true,
 )
 
-data class AckedWrite(val write: Int, val point: HistoryPoint, val committedAt: Duration, val ackedAt: Duration, val vm: Int)
+data class AckedWrite(
+    val write: Int,
+    val point: HistoryPoint,
+    val committedAt: Duration,
+    val ackedAt: Duration,
+    val vm: Int,
+)
 
 /** Virtual time, three members and as many coordinators, joined by links that lose, delay and duplicate messages. */
 class GroupSimulation(seed: Long, private val oneWay: Duration, private val rules: Rules = Rules(), vms: Int = 3) {
