Serve callers through any node: routing, relays, keyed work and transactions

Cause: the parts stood alone; no request went from a caller through another node to a member and back. Change: a node that joins the fleet by gossip and the platform's list, holds the connections of the members whose gateway it is, observes their groups, relays other work by gRPC, runs keyed work with its record in one transaction, keeps interactive transactions on one connection in one term, and resolves unknown outcomes. Work under way at a superseded primary is ended as soon as the new one is known, instead of at its deadline.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/idempotency/IdempotencyRecord.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/idempotency/IdempotencyRecord.kt
@@ -23,6 +23,9 @@
 
     /** Other work has committed under this key. */
     public data object OtherWork : RecordLookup
+
+    /** A question for the outcome found no record and closed the key to the attempts that were under way then. */
+    public data object Abandoned : RecordLookup
 }
 
 /**
@@ -40,6 +43,9 @@
     /** SQL state of a violated unique key: another request with the same key has committed first. */
     public const val UNIQUE_VIOLATION: String = "23505"
 
+    /** SQL states by which databases say that the table of records does not exist. */
+    public val missingTableStates: Set<String> = setOf("42P01", "42S02", "42S03", "42S04")
+
     /** Creates the table of records where it does not exist. */
     public val createTable: Statement = Statement(
         "CREATE TABLE IF NOT EXISTS kumquatknot_record (record_key VARCHAR(600) PRIMARY KEY, " +
@@ -52,6 +58,20 @@
         listOf(recordKey(team, key), SqlValue.Integer(digest(work)), SqlValue.Integer(now.toEpochMilli())),
     )
 
+    /** Inserts a record that keeps every earlier attempt with [key] from committing; fails like [insert]. */
+    public fun abandon(
+        team: TeamName,
+        key: IdempotencyKey,
+        now: Instant,
+    ): Statement = insert(team, key, emptyList(), now)
+
+    /** Turns the record of an abandoned key into that of [work]; updates no row where another attempt did so first. */
+    public fun claimAbandoned(team: TeamName, key: IdempotencyKey, work: List<Statement>, now: Instant): Statement =
+        Statement(
+            "UPDATE kumquatknot_record SET work_digest = ?, created_at = ? WHERE record_key = ? AND answer = ''",
+            listOf(SqlValue.Integer(digest(work)), SqlValue.Integer(now.toEpochMilli()), recordKey(team, key)),
+        )
+
     /** Puts the answer into the record of [key], in the same transaction as [insert]. */
     public fun complete(team: TeamName, key: IdempotencyKey, results: List<StatementResult>): Statement = Statement(
         "UPDATE kumquatknot_record SET answer = ? WHERE record_key = ?",
@@ -78,8 +98,9 @@
     public fun lookup(result: StatementResult, work: List<Statement>?): RecordLookup {
         val row = result.rows.firstOrNull() ?: return RecordLookup.Absent
         val recorded = (row[DIGEST_COLUMN] as SqlValue.Integer).value
-        if (work != null && recorded != digest(work)) return RecordLookup.OtherWork
         val answer = (row[ANSWER_COLUMN] as SqlValue.Text).value
+        if (answer.isEmpty()) return RecordLookup.Abandoned
+        if (work != null && recorded != digest(work)) return RecordLookup.OtherWork
         return RecordLookup.SameWork(Json.decodeFromString(resultList, answer))
     }
 
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/member/MemberPort.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/member/MemberPort.kt
@@ -90,12 +90,15 @@
     ) : MemberFailure
 }
 
-/** One open connection to a member. Used by one thread at a time. */
+/** One open connection to a member. Used by one thread at a time, but for [close]. */
 public interface MemberConnection {
     /** Runs [batch] and waits for its answer at most [timeout]. After [MemberFailure.NoAnswer] it is of no more use. */
     public fun run(batch: StatementBatch, timeout: Duration): Either<MemberFailure, BatchReply>
 
-    /** Closes the connection; an open transaction is rolled back by the member. Never waits. */
+    /**
+     * Closes the connection; an open transaction is rolled back by the member. Never waits. Any thread may call it; a
+     * [run] that waits for its answer then ends with [MemberFailure.NoAnswer].
+     */
     public fun close()
 }
 
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/outcome/Outcome.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/outcome/Outcome.kt
@@ -79,6 +79,7 @@
     NOT_FRESH_ENOUGH,
     SUPERSEDED,
     UNCONFIRMED,
+    ABANDONED,
     CONNECTION_LOST,
     CONNECTION_REFUSED,
     VM_UNREACHABLE,
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/MemberStatus.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/MemberStatus.java
@@ -182,6 +182,32 @@
     return reachable_;
   }
 
+  public static final int LAG_MICROS_FIELD_NUMBER = 8;
+  private long lagMicros_ = 0L;
+  /**
+   * <pre>
+   * Recent time that reads waited for the member to reach a point of their session.
+   * </pre>
+   *
+   * <code>int64 lag_micros = 8;</code>
+   * @return The lagMicros.
+   */
+  @java.lang.Override
+  public long getLagMicros() {
+    return lagMicros_;
+  }
+
+  public static final int QUEUED_FIELD_NUMBER = 9;
+  private int queued_ = 0;
+  /**
+   * <code>int32 queued = 9;</code>
+   * @return The queued.
+   */
+  @java.lang.Override
+  public int getQueued() {
+    return queued_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -217,6 +243,12 @@
     if (reachable_ != false) {
       output.writeBool(7, reachable_);
     }
+    if (lagMicros_ != 0L) {
+      output.writeInt64(8, lagMicros_);
+    }
+    if (queued_ != 0) {
+      output.writeInt32(9, queued_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -248,6 +280,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, reachable_);
     }
+    if (lagMicros_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, lagMicros_);
+    }
+    if (queued_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(9, queued_);
+    }
     return size;
   }
   @java.lang.Override
@@ -289,6 +329,10 @@
         != other.getInFlight()) return false;
     if (getReachable()
         != other.getReachable()) return false;
+    if (getLagMicros()
+        != other.getLagMicros()) return false;
+    if (getQueued()
+        != other.getQueued()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -320,6 +364,11 @@
     hash = (37 * hash) + REACHABLE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getReachable());
+    hash = (37 * hash) + LAG_MICROS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLagMicros());
+    hash = (37 * hash) + QUEUED_FIELD_NUMBER;
+    hash = (53 * hash) + getQueued();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -472,6 +521,8 @@
       serviceMicros_ = 0L;
       inFlight_ = 0;
       reachable_ = false;
+      lagMicros_ = 0L;
+      queued_ = 0;
       return this;
     }
 
@@ -530,6 +581,12 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.reachable_ = reachable_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.lagMicros_ = lagMicros_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.queued_ = queued_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -568,6 +625,12 @@
       if (other.getReachable() != false) {
         setReachable(other.getReachable());
       }
+      if (other.getLagMicros() != 0L) {
+        setLagMicros(other.getLagMicros());
+      }
+      if (other.getQueued() != 0) {
+        setQueued(other.getQueued());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -629,6 +692,16 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              lagMicros_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              queued_ = input.readInt32();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1017,6 +1090,82 @@
       return this;
     }
 
+    private long lagMicros_ ;
+    /**
+     * <pre>
+     * Recent time that reads waited for the member to reach a point of their session.
+     * </pre>
+     *
+     * <code>int64 lag_micros = 8;</code>
+     * @return The lagMicros.
+     */
+    @java.lang.Override
+    public long getLagMicros() {
+      return lagMicros_;
+    }
+    /**
+     * <pre>
+     * Recent time that reads waited for the member to reach a point of their session.
+     * </pre>
+     *
+     * <code>int64 lag_micros = 8;</code>
+     * @param value The lagMicros to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLagMicros(long value) {
+
+      lagMicros_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent time that reads waited for the member to reach a point of their session.
+     * </pre>
+     *
+     * <code>int64 lag_micros = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLagMicros() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      lagMicros_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int queued_ ;
+    /**
+     * <code>int32 queued = 9;</code>
+     * @return The queued.
+     */
+    @java.lang.Override
+    public int getQueued() {
+      return queued_;
+    }
+    /**
+     * <code>int32 queued = 9;</code>
+     * @param value The queued to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQueued(int value) {
+
+      queued_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int32 queued = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearQueued() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      queued_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:dev.kumquatknot.node.MemberStatus)
   }
 
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/MemberStatusOrBuilder.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/MemberStatusOrBuilder.java
@@ -74,4 +74,20 @@
    * @return The reachable.
    */
   boolean getReachable();
+
+  /**
+   * <pre>
+   * Recent time that reads waited for the member to reach a point of their session.
+   * </pre>
+   *
+   * <code>int64 lag_micros = 8;</code>
+   * @return The lagMicros.
+   */
+  long getLagMicros();
+
+  /**
+   * <code>int32 queued = 9;</code>
+   * @return The queued.
+   */
+  int getQueued();
 }
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/NodeOuterClass.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/NodeOuterClass.java
@@ -172,45 +172,46 @@
       " \001(\003\"w\n\013WorkFailure\022\016\n\006reason\030\001 \001(\t\022\016\n\006e" +
       "ffect\030\002 \001(\t\022\014\n\004step\030\003 \001(\t\022\016\n\006member\030\004 \001(" +
       "\t\022\016\n\006detail\030\005 \001(\t\022\032\n\022retry_after_micros\030" +
-      "\006 \001(\003\"\262\001\n\014MemberStatus\022\014\n\004term\030\001 \001(\003\022\017\n\007" +
+      "\006 \001(\003\"\326\001\n\014MemberStatus\022\014\n\004term\030\001 \001(\003\022\017\n\007" +
       "primary\030\002 \001(\t\0220\n\005point\030\003 \001(\0132!.dev.kumqu" +
       "atknot.sql.HistoryPoint\022\023\n\013wait_micros\030\004" +
       " \001(\003\022\026\n\016service_micros\030\005 \001(\003\022\021\n\tin_fligh" +
-      "t\030\006 \001(\005\022\021\n\treachable\030\007 \001(\010\"\207\001\n\010VmRecord\022" +
-      "\014\n\004name\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\017\n\007ad" +
-      "dress\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\0222\n\tcond" +
-      "ition\030\005 \001(\0162\037.dev.kumquatknot.node.Condi" +
-      "tion\"@\n\rPrimaryRecord\022\020\n\010database\030\001 \001(\t\022" +
-      "\014\n\004term\030\002 \001(\003\022\017\n\007primary\030\003 \001(\t\"\320\001\n\rGossi" +
-      "pMessage\022.\n\006sender\030\001 \001(\0132\036.dev.kumquatkn" +
-      "ot.node.VmRecord\022+\n\003vms\030\002 \003(\0132\036.dev.kumq" +
-      "uatknot.node.VmRecord\0226\n\tprimaries\030\003 \003(\013" +
-      "2#.dev.kumquatknot.node.PrimaryRecord\022\034\n" +
-      "\024configuration_number\030\004 \001(\003\022\014\n\004full\030\005 \001(" +
-      "\010\".\n\rIndirectProbe\022\014\n\004name\030\001 \001(\t\022\017\n\007addr" +
-      "ess\030\002 \001(\t\"&\n\022IndirectProbeReply\022\020\n\010answe" +
-      "red\030\001 \001(\010\",\n\024ConfigurationRequest\022\024\n\014kno" +
-      "wn_number\030\001 \001(\003\"+\n\022ConfigurationReply\022\025\n" +
-      "\rconfiguration\030\001 \001(\t\"2\n\016VantageRequest\022\020" +
-      "\n\010database\030\001 \001(\t\022\016\n\006member\030\002 \001(\t\"Y\n\014Vant" +
-      "ageReply\022\035\n\020heard_ago_micros\030\001 \001(\003H\000\210\001\001\022" +
-      "\025\n\raccepted_term\030\002 \001(\003B\023\n\021_heard_ago_mic" +
-      "ros*0\n\004Rank\022\n\n\006URGENT\020\000\022\014\n\010STANDARD\020\001\022\016\n" +
-      "\nBACKGROUND\020\002*=\n\tCondition\022\010\n\004LIVE\020\000\022\r\n\t" +
-      "SUSPECTED\020\001\022\013\n\007LEAVING\020\002\022\n\n\006FAILED\020\0032\314\003\n" +
-      "\004Node\022M\n\007Execute\022!.dev.kumquatknot.node." +
-      "WorkRequest\032\037.dev.kumquatknot.node.WorkR" +
-      "eply\022R\n\006Gossip\022#.dev.kumquatknot.node.Go" +
-      "ssipMessage\032#.dev.kumquatknot.node.Gossi" +
-      "pMessage\022`\n\017ProbeIndirectly\022#.dev.kumqua" +
-      "tknot.node.IndirectProbe\032(.dev.kumquatkn" +
-      "ot.node.IndirectProbeReply\022j\n\022FetchConfi" +
-      "guration\022*.dev.kumquatknot.node.Configur" +
-      "ationRequest\032(.dev.kumquatknot.node.Conf" +
-      "igurationReply\022S\n\007Vantage\022$.dev.kumquatk" +
-      "not.node.VantageRequest\032\".dev.kumquatkno" +
-      "t.node.VantageReplyB!\n\035dev.kumquatknot.p" +
-      "rotocol.nodeP\001b\006proto3"
+      "t\030\006 \001(\005\022\021\n\treachable\030\007 \001(\010\022\022\n\nlag_micros" +
+      "\030\010 \001(\003\022\016\n\006queued\030\t \001(\005\"\207\001\n\010VmRecord\022\014\n\004n" +
+      "ame\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\017\n\007addres" +
+      "s\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\0222\n\tconditio" +
+      "n\030\005 \001(\0162\037.dev.kumquatknot.node.Condition" +
+      "\"@\n\rPrimaryRecord\022\020\n\010database\030\001 \001(\t\022\014\n\004t" +
+      "erm\030\002 \001(\003\022\017\n\007primary\030\003 \001(\t\"\320\001\n\rGossipMes" +
+      "sage\022.\n\006sender\030\001 \001(\0132\036.dev.kumquatknot.n" +
+      "ode.VmRecord\022+\n\003vms\030\002 \003(\0132\036.dev.kumquatk" +
+      "not.node.VmRecord\0226\n\tprimaries\030\003 \003(\0132#.d" +
+      "ev.kumquatknot.node.PrimaryRecord\022\034\n\024con" +
+      "figuration_number\030\004 \001(\003\022\014\n\004full\030\005 \001(\010\".\n" +
+      "\rIndirectProbe\022\014\n\004name\030\001 \001(\t\022\017\n\007address\030" +
+      "\002 \001(\t\"&\n\022IndirectProbeReply\022\020\n\010answered\030" +
+      "\001 \001(\010\",\n\024ConfigurationRequest\022\024\n\014known_n" +
+      "umber\030\001 \001(\003\"+\n\022ConfigurationReply\022\025\n\rcon" +
+      "figuration\030\001 \001(\t\"2\n\016VantageRequest\022\020\n\010da" +
+      "tabase\030\001 \001(\t\022\016\n\006member\030\002 \001(\t\"Y\n\014VantageR" +
+      "eply\022\035\n\020heard_ago_micros\030\001 \001(\003H\000\210\001\001\022\025\n\ra" +
+      "ccepted_term\030\002 \001(\003B\023\n\021_heard_ago_micros*" +
+      "0\n\004Rank\022\n\n\006URGENT\020\000\022\014\n\010STANDARD\020\001\022\016\n\nBAC" +
+      "KGROUND\020\002*=\n\tCondition\022\010\n\004LIVE\020\000\022\r\n\tSUSP" +
+      "ECTED\020\001\022\013\n\007LEAVING\020\002\022\n\n\006FAILED\020\0032\314\003\n\004Nod" +
+      "e\022M\n\007Execute\022!.dev.kumquatknot.node.Work" +
+      "Request\032\037.dev.kumquatknot.node.WorkReply" +
+      "\022R\n\006Gossip\022#.dev.kumquatknot.node.Gossip" +
+      "Message\032#.dev.kumquatknot.node.GossipMes" +
+      "sage\022`\n\017ProbeIndirectly\022#.dev.kumquatkno" +
+      "t.node.IndirectProbe\032(.dev.kumquatknot.n" +
+      "ode.IndirectProbeReply\022j\n\022FetchConfigura" +
+      "tion\022*.dev.kumquatknot.node.Configuratio" +
+      "nRequest\032(.dev.kumquatknot.node.Configur" +
+      "ationReply\022S\n\007Vantage\022$.dev.kumquatknot." +
+      "node.VantageRequest\032\".dev.kumquatknot.no" +
+      "de.VantageReplyB!\n\035dev.kumquatknot.proto" +
+      "col.nodeP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -276,7 +277,7 @@
     internal_static_dev_kumquatknot_node_MemberStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_node_MemberStatus_descriptor,
-        new java.lang.String[] { "Term", "Primary", "Point", "WaitMicros", "ServiceMicros", "InFlight", "Reachable", });
+        new java.lang.String[] { "Term", "Primary", "Point", "WaitMicros", "ServiceMicros", "InFlight", "Reachable", "LagMicros", "Queued", });
     internal_static_dev_kumquatknot_node_VmRecord_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_dev_kumquatknot_node_VmRecord_fieldAccessorTable = new
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/Problem.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/Problem.kt
@@ -104,7 +104,7 @@
                 FailureReason.INVALID_REQUEST, FailureReason.KEY_REQUIRED, FailureReason.INVALID_TOKEN -> BAD_REQUEST
                 FailureReason.UNAUTHENTICATED -> UNAUTHORIZED
                 FailureReason.FORBIDDEN -> FORBIDDEN
-                FailureReason.UNKNOWN_KIND -> NOT_FOUND
+                FailureReason.UNKNOWN_KIND, FailureReason.ABANDONED -> NOT_FOUND
                 FailureReason.TRANSACTION_ENDED -> CONFLICT
                 FailureReason.TOO_LARGE -> CONTENT_TOO_LARGE
                 FailureReason.STATEMENT_FAILED, FailureReason.KEY_REUSED -> UNPROCESSABLE
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/member/ConnectionPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/member/ConnectionPool.kt
@@ -69,6 +69,9 @@
         change { table.trim(clock.elapsed()) }
     }
 
+    /** Closes the connections in use; whoever uses one sees it broken and gives it back. */
+    fun interrupt() = lock.withLock { connections.values.filter { it.inUse } }.forEach { it.close() }
+
     fun giveUp() = change { table.giveUp() }
 
     fun takeUp() = lock.withLock { table.takeUp() }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/member/MemberGateway.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/member/MemberGateway.kt
@@ -96,6 +96,14 @@
         pool.maintain()
     }
 
+    /**
+     * Ends the batches under way without their answers, because the member is no longer what they were sent for. Their
+     * outcome is as unknown as that of any unanswered batch.
+     */
+    public fun interrupt() {
+        pool.interrupt()
+    }
+
     /**
      * Gives the member up to another VM: waiting and new work is refused as [GatewayFailure.GivenUp], idle connections
      * close at once and the others when their work ends.
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/member/TrackedConnection.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/member/TrackedConnection.kt
@@ -19,9 +19,15 @@
         private set
 
     /** Whether the connection is of no more use. */
+    @Volatile
     var broken: Boolean = false
         private set
 
+    /** Whether a batch is under way. */
+    @Volatile
+    var inUse: Boolean = false
+        private set
+
     /** Whether the member left a call without an answer. */
     var silent: Boolean = false
         private set
@@ -32,9 +38,14 @@
     override fun run(batch: StatementBatch, timeout: Duration): Either<MemberFailure, BatchReply> {
         val wasOpen = transactionOpen
         transactionOpen = true
-        return connection.run(batch, timeout)
-            .onRight { transactionOpen = batch.end == BatchEnd.KEEP_OPEN }
-            .onLeft { note(it, wasOpen) }
+        inUse = true
+        try {
+            return connection.run(batch, timeout)
+                .onRight { transactionOpen = batch.end == BatchEnd.KEEP_OPEN }
+                .onLeft { note(it, wasOpen) }
+        } finally {
+            inUse = false
+        }
     }
 
     override fun close() {
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/NodeServer.kt
@@ -0,0 +1,140 @@
+package dev.kumquatknot.proxy.node
+
+import dev.kumquatknot.core.admission.EdgeLimits
+import dev.kumquatknot.core.identity.RequestId
+import dev.kumquatknot.core.session.TokenCodec
+import dev.kumquatknot.core.transaction.TransactionHandleCodec
+import dev.kumquatknot.proxy.caller.CallerApi
+import dev.kumquatknot.proxy.http.WorkerPoolServer
+import dev.kumquatknot.proxy.http.WorkerPoolSettings
+import dev.kumquatknot.proxy.operator.Health
+import dev.kumquatknot.proxy.operator.OperatorApi
+import dev.kumquatknot.proxy.peer.GrpcNodeServer
+import org.apache.commons.rng.UniformRandomProvider
+import org.apache.commons.rng.simple.RandomSource
+import org.http4k.server.Http4kServer
+import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Addresses at which a node listens.
+ *
+ * @property callers where callers send requests.
+ * @property operators where operators read the pages of the node.
+ * @property nodes where other nodes call.
+ */
+public data class ListenAddresses(
+    val callers: InetSocketAddress,
+    val operators: InetSocketAddress,
+    val nodes: InetSocketAddress,
+)
+
+/**
+ * Keys that sign session tokens and transaction handles.
+ *
+ * @property previous the key before the current one, whose tokens stay valid.
+ */
+public class SigningKeys(public val current: ByteArray, public val previous: ByteArray?)
+
+/**
+ * The pages that a node shows to operators.
+ *
+ * @property today today's page in HTML.
+ * @property status state of the node in JSON.
+ */
+public class OperatorPages(public val today: () -> String, public val status: () -> String)
+
+/** A [ProxyNode] with its servers: towards callers, operators and other nodes. */
+public class NodeServer(
+    private val node: ProxyNode,
+    private val identity: NodeIdentity,
+    private val parts: NodeParts,
+    private val addresses: ListenAddresses,
+    keys: SigningKeys,
+    pages: OperatorPages,
+) {
+    private val random: UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create(parts.seed + 1)
+    private val requestNumbers = AtomicLong(random.nextLong() ushr REQUEST_NUMBER_SHIFT)
+    private val limits = EdgeLimits(parts.workers)
+    private val callers: Http4kServer = WorkerPoolServer(
+        WorkerPoolSettings(
+            address = addresses.callers.hostString,
+            port = addresses.callers.port,
+            workers = parts.workers,
+            stopTime = STOP_TIME,
+        ),
+    ).toServer(callerApi(keys).handler())
+    private val operators: Http4kServer = WorkerPoolServer(
+        WorkerPoolSettings(
+            address = addresses.operators.hostString,
+            port = addresses.operators.port,
+            workers = OPERATOR_WORKERS,
+            stopTime = OPERATOR_STOP_TIME,
+        ),
+    ).toServer(operatorApi(pages).handler())
+    private val nodes =
+        GrpcNodeServer(addresses.nodes, identity.vm, node.peerService, node.workExecutor, node.controlExecutor)
+
+    /** Port towards callers, once started. */
+    public val callerPort: Int get() = callers.port()
+
+    /** Port towards operators, once started. */
+    public val operatorPort: Int get() = operators.port()
+
+    /** Starts the servers and the node. Callers are served once the node has a configuration. */
+    public fun start() {
+        nodes.start()
+        operators.start()
+        node.start()
+        callers.start()
+    }
+
+    /**
+     * Stops gracefully: tells the fleet, lets the balancer notice, answers what is in flight, lets open transactions
+     * end, and closes.
+     */
+    public fun stop() {
+        node.leave()
+        Thread.sleep(NOTICE_TIME.inWholeMilliseconds)
+        callers.stop()
+        node.awaitTransactions(TRANSACTION_TIME)
+        nodes.stop(STOP_TIME)
+        node.stop()
+        operators.stop()
+    }
+
+    private fun callerApi(keys: SigningKeys) = CallerApi(
+        configuration = { node.configuration },
+        handle = node::handle,
+        tokens = TokenCodec(keys.current, keys.previous),
+        handles = TransactionHandleCodec(keys.current, keys.previous),
+        limits = limits,
+        clock = parts.clock,
+        metrics = parts.metrics,
+        events = parts.events,
+        newRequestId = { RequestId("${identity.vm}-${requestNumbers.incrementAndGet()}") },
+    )
+
+    private fun operatorApi(pages: OperatorPages) = OperatorApi(
+        live = { Health(true, "the process works") },
+        ready = {
+            if (node.ready) Health(true, "the node takes work") else Health(false, "no configuration, or leaving")
+        },
+        page = pages.today,
+        status = pages.status,
+        metrics = parts.metrics,
+    )
+
+    private companion object {
+        const val REQUEST_NUMBER_SHIFT = 16
+        const val OPERATOR_WORKERS = 4
+
+        /** Time that the balancer has to see that the node is not ready. */
+        val NOTICE_TIME: Duration = 2.seconds
+        val STOP_TIME: Duration = 20.seconds
+        val OPERATOR_STOP_TIME: Duration = 1.seconds
+        val TRANSACTION_TIME: Duration = 10.seconds
+    }
+}
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/WorkMessages.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/WorkMessages.kt
@@ -175,6 +175,8 @@
     .setServiceMicros(service.inWholeMicroseconds)
     .setInFlight(inFlight)
     .setReachable(reachable)
+    .setLagMicros(lag.inWholeMicroseconds)
+    .setQueued(queued)
     .build()
 
 private fun MemberStatusMessage.toMemberStatus(): MemberStatus = MemberStatus(
@@ -184,6 +186,8 @@
     wait = waitMicros.microseconds,
     service = serviceMicros.microseconds,
     inFlight = inFlight,
+    queued = queued,
+    lag = lagMicros.microseconds,
     reachable = reachable,
 )
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/relay/RelayMessages.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/relay/RelayMessages.kt
@@ -64,6 +64,7 @@
  * @property point last entry of the member, as last seen.
  * @property wait mean time that work waited for a slot.
  * @property service mean time that the member took for one batch.
+ * @property lag recent time that reads waited for the member to reach a point of their session.
  */
 public data class MemberStatus(
     val term: Term,
@@ -72,8 +73,25 @@
     val wait: Duration,
     val service: Duration,
     val inFlight: Int,
+    val queued: Int,
+    val lag: Duration,
     val reachable: Boolean,
-)
+) {
+    public companion object {
+        /** Status of a member that this VM does not serve. */
+        public val UNKNOWN: MemberStatus = MemberStatus(
+            term = Term(0),
+            primary = null,
+            point = HistoryPoint.START,
+            wait = Duration.ZERO,
+            service = Duration.ZERO,
+            inFlight = 0,
+            queued = 0,
+            lag = Duration.ZERO,
+            reachable = false,
+        )
+    }
+}
 
 /** Outcome of a [RelayRequest], with the [status] of the member that comes along with every answer. */
 public data class RelayReply(val result: Either<Failure, RelayAnswer>, val status: MemberStatus)
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/work/KeyedExecution.kt
@@ -0,0 +1,208 @@
+package dev.kumquatknot.proxy.work
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import arrow.core.right
+import dev.kumquatknot.core.databasegroup.HistoryPoint
+import dev.kumquatknot.core.idempotency.IdempotencyRecord
+import dev.kumquatknot.core.idempotency.RecordLookup
+import dev.kumquatknot.core.member.BatchEnd
+import dev.kumquatknot.core.member.MemberConnection
+import dev.kumquatknot.core.member.MemberFailure
+import dev.kumquatknot.core.member.Statement
+import dev.kumquatknot.core.outcome.Effect
+import dev.kumquatknot.core.outcome.Failure
+import dev.kumquatknot.core.outcome.FailureReason
+import dev.kumquatknot.core.outcome.Peer
+import dev.kumquatknot.core.outcome.Step
+import dev.kumquatknot.core.request.IdempotencyKey
+import dev.kumquatknot.core.time.Clock
+import dev.kumquatknot.proxy.member.GatewayFailure
+import kotlin.time.Duration
+
+/**
+ * Runs work with an idempotency key: the work and its record commit in one transaction, and a repetition finds the
+ * record and gets the first answer.
+ */
+internal class KeyedExecution(private val clock: Clock) {
+    /** Runs [statements] unless work with [key] has committed before. */
+    fun execute(
+        attempt: Attempt,
+        key: IdempotencyKey,
+        statements: List<Statement>,
+    ): Either<Failure, CommittedWork> = either {
+        val insert = IdempotencyRecord.insert(attempt.request.team, key, statements, clock.instant())
+        val claim = IdempotencyRecord.claimAbandoned(attempt.request.team, key, statements, clock.instant())
+        repeat(ATTEMPTS) {
+            val conflict = when (val result = runWithRecord(attempt, key, insert, statements)) {
+                is RecordResult.Committed -> return@either result.work
+                is RecordResult.Conflict -> result
+            }
+            when (val found = lookup(attempt, key, statements).bind()) {
+                is FoundRecord.Same -> return@either found.work
+                FoundRecord.Other -> raise(attempt.keyReused(key))
+                FoundRecord.Absent -> conflict.failure?.let { raise(it.toFailure(Effect.NOT_RUN)) }
+                is FoundRecord.Abandoned -> {
+                    val result = runWithRecord(attempt, key, claim, statements)
+                    if (result is RecordResult.Committed) return@either result.work
+                }
+            }
+        }
+        raise(attempt.contended(key))
+    }
+
+    /**
+     * Finds the outcome of the work that carried [key]. Where there is no record, it closes the key to all attempts
+     * under way, so that the answer "not run" stays true.
+     */
+    fun resolve(attempt: Attempt, key: IdempotencyKey): Either<Failure, ResolvedWork> = either {
+        repeat(ATTEMPTS) {
+            when (val found = lookup(attempt, key, statements = null).bind()) {
+                is FoundRecord.Same -> return@either ResolvedWork.Ran(found.work)
+                is FoundRecord.Abandoned -> return@either ResolvedWork.NotRun(found.point)
+                FoundRecord.Absent, FoundRecord.Other -> Unit
+            }
+            val abandon = IdempotencyRecord.abandon(attempt.request.team, key, clock.instant())
+            attempt.run(listOf(abandon)).fold(
+                { failure ->
+                    when {
+                        failure.isMissingTable() -> createTable(attempt)
+                        !failure.isUniqueViolation() -> raise(failure.toFailure(Effect.UNKNOWN))
+                    }
+                },
+                { return@either ResolvedWork.NotRun(it.point) },
+            )
+        }
+        raise(attempt.contended(key))
+    }
+
+    /** Makes sure that the table of records exists, for work whose record is written in a transaction of its caller. */
+    fun ensureTable(attempt: Attempt): Either<Failure, Unit> = either { createTable(attempt) }
+
+    private fun Raise<Failure>.runWithRecord(
+        attempt: Attempt,
+        key: IdempotencyKey,
+        claim: Statement,
+        statements: List<Statement>,
+    ): RecordResult {
+        val result = attempt.host.gateway.execute(attempt.item()) { connection, timeout ->
+            runOn(connection, timeout, attempt, key, listOf(claim) + statements)
+        }
+        return result.fold(
+            { failure ->
+                when {
+                    failure.isUniqueViolation() -> RecordResult.Conflict(failure)
+                    failure.isMissingTable() -> createTable(attempt).let { RecordResult.Conflict(null) }
+                    else -> raise(failure.toFailure(unanswered = Effect.NOT_RUN))
+                }
+            },
+            { end -> end.fold({ raise(GatewayFailure.Failed(it).toFailure(unanswered = Effect.UNKNOWN)) }, { it }) },
+        )
+    }
+
+    /** Runs the claim of the record and the work, then the record's answer with the commit. */
+    private fun runOn(
+        connection: MemberConnection,
+        timeout: Duration,
+        attempt: Attempt,
+        key: IdempotencyKey,
+        claimAndWork: List<Statement>,
+    ): Either<MemberFailure, Either<MemberFailure, RecordResult>> = either {
+        val startedAt = clock.elapsed()
+        val begin = attempt.batch(claimAndWork, BatchEnd.KEEP_OPEN)
+        val opened = attempt.host.learning(begin, attempt.request.patience)(connection, timeout).bind()
+        val left = timeout - (clock.elapsed() - startedAt)
+        if (opened.results.first().updatedRows == 0L) {
+            connection.run(attempt.batch(emptyList(), BatchEnd.ROLLBACK), left).bind()
+            return@either RecordResult.Conflict(null).right()
+        }
+        val answers = opened.results.drop(1)
+        val complete = IdempotencyRecord.complete(attempt.request.team, key, answers)
+        attempt.host.learning(
+            attempt.batch(listOf(complete), BatchEnd.COMMIT),
+            attempt.request.patience,
+        )(connection, left).fold(
+            { it.left() },
+            { RecordResult.Committed(CommittedWork(answers, it.point)).right() },
+        )
+    }
+
+    private fun Raise<Failure>.createTable(attempt: Attempt) {
+        attempt.run(listOf(IdempotencyRecord.createTable)).mapLeft { it.toFailure(Effect.NOT_RUN) }.bind()
+    }
+
+    private fun lookup(
+        attempt: Attempt,
+        key: IdempotencyKey,
+        statements: List<Statement>?,
+    ): Either<Failure, FoundRecord> = attempt.run(listOf(IdempotencyRecord.select(attempt.request.team, key))).fold(
+        { if (it.isMissingTable()) FoundRecord.Absent.right() else it.toFailure(Effect.UNKNOWN).left() },
+        { reply ->
+            when (val found = IdempotencyRecord.lookup(reply.results.single(), statements)) {
+                RecordLookup.Absent -> FoundRecord.Absent
+                RecordLookup.Abandoned -> FoundRecord.Abandoned(reply.point)
+                RecordLookup.OtherWork -> FoundRecord.Other
+                is RecordLookup.SameWork -> FoundRecord.Same(CommittedWork(found.results, reply.point, repeated = true))
+            }.right()
+        },
+    )
+
+    private fun GatewayFailure.sqlState(): String? =
+        ((this as? GatewayFailure.Failed)?.failure as? MemberFailure.StatementFailed)?.sqlState
+
+    private fun GatewayFailure.isUniqueViolation(): Boolean = sqlState() == IdempotencyRecord.UNIQUE_VIOLATION
+
+    private fun GatewayFailure.isMissingTable(): Boolean = sqlState() in IdempotencyRecord.missingTableStates
+
+    private fun Attempt.keyReused(key: IdempotencyKey) = Failure(
+        reason = FailureReason.KEY_REUSED,
+        effect = Effect.NOT_RUN,
+        step = Step.EXECUTE,
+        peer = Peer.Member(host.name),
+        detail = "key \"${key.value}\" has been used for other work",
+    )
+
+    private fun Attempt.contended(key: IdempotencyKey) = Failure(
+        reason = FailureReason.OVERLOADED,
+        effect = Effect.NOT_RUN,
+        step = Step.EXECUTE,
+        peer = Peer.Member(host.name),
+        detail = "other attempts with key \"${key.value}\" are under way",
+        retryAfter = RETRY_AFTER_LOSS,
+    )
+
+    private sealed interface RecordResult {
+        class Committed(val work: CommittedWork) : RecordResult
+
+        /** The record could not be claimed; [failure] is the violation of a unique key, if there was one. */
+        class Conflict(val failure: GatewayFailure?) : RecordResult
+    }
+
+    private sealed interface FoundRecord {
+        data object Absent : FoundRecord
+
+        data object Other : FoundRecord
+
+        class Abandoned(val point: HistoryPoint) : FoundRecord
+
+        class Same(val work: CommittedWork) : FoundRecord
+    }
+
+    private companion object {
+        const val ATTEMPTS = 4
+    }
+}
+
+/** Outcome of work of which only the key is known. */
+internal sealed interface ResolvedWork {
+    /** Point that must be confirmed before the outcome is told. */
+    val point: HistoryPoint
+
+    class Ran(val work: CommittedWork) : ResolvedWork {
+        override val point get() = work.point
+    }
+
+    class NotRun(override val point: HistoryPoint) : ResolvedWork
+}
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/work/WriteExecution.kt
@@ -0,0 +1,96 @@
+package dev.kumquatknot.proxy.work
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import dev.kumquatknot.core.databasegroup.Confirmation
+import dev.kumquatknot.core.databasegroup.HistoryPoint
+import dev.kumquatknot.core.databasegroup.Term
+import dev.kumquatknot.core.member.MemberRole
+import dev.kumquatknot.core.member.Statement
+import dev.kumquatknot.core.outcome.Effect
+import dev.kumquatknot.core.outcome.Failure
+import dev.kumquatknot.core.outcome.FailureReason
+import dev.kumquatknot.core.outcome.Peer
+import dev.kumquatknot.core.outcome.Step
+import dev.kumquatknot.proxy.relay.RelayAnswer
+import dev.kumquatknot.proxy.relay.RelayRequest
+import kotlin.time.Duration
+
+/** Runs a write at the primary and acknowledges it only once a majority holds it in the primary's term. */
+internal class WriteExecution(private val keyed: KeyedExecution) {
+    /** Runs [statements] in one transaction. */
+    fun execute(
+        host: MemberHost,
+        request: RelayRequest,
+        statements: List<Statement>,
+        deadline: Duration,
+    ): Either<Failure, RelayAnswer> = either {
+        val attempt = Attempt(host, request, primaryTerm(host).bind(), deadline)
+        val key = request.key
+        val work = if (key == null) run(attempt, statements).bind() else keyed.execute(attempt, key, statements).bind()
+        confirm(host, work.point, deadline).bind()
+        RelayAnswer(work.results, work.point, MemberRole.PRIMARY, work.repeated)
+    }
+
+    /** Answers the question for the outcome of the work that carried the key of [request]. */
+    fun resolve(host: MemberHost, request: RelayRequest, deadline: Duration): Either<Failure, RelayAnswer> = either {
+        val key = request.key ?: raise(request.missingKey())
+        val attempt = Attempt(host, request, primaryTerm(host).bind(), deadline)
+        val resolved = keyed.resolve(attempt, key).bind()
+        confirm(host, resolved.point, deadline).bind()
+        when (resolved) {
+            is ResolvedWork.NotRun -> raise(request.abandoned())
+            is ResolvedWork.Ran -> RelayAnswer(
+                resolved.work.results,
+                resolved.point,
+                MemberRole.PRIMARY,
+                repeated = true,
+            )
+        }
+    }.mapLeft { if (it.step == Step.RESOLVE) it else it.copy(effect = Effect.UNKNOWN) }
+
+    /** Waits until a majority holds [point]; any other end leaves the outcome unknown. */
+    fun confirm(host: MemberHost, point: HistoryPoint, deadline: Duration): Either<Failure, Unit> {
+        if (host.group.awaitConfirmation(point, host.name, deadline) == Confirmation.CONFIRMED) return Unit.right()
+        return Failure(
+            reason = FailureReason.UNCONFIRMED,
+            effect = Effect.UNKNOWN,
+            step = Step.CONFIRM,
+            peer = Peer.Member(host.name),
+            detail = "the transaction committed at point $point and no other member confirmed it in time",
+            retryAfter = RETRY_AFTER_LOSS,
+        ).left()
+    }
+
+    /** Returns the term in which the member is the primary. */
+    fun primaryTerm(host: MemberHost): Either<Failure, Term> {
+        val view = host.group.view()
+        if (view.primary == host.name) return view.term.right()
+        return Failure(
+            reason = FailureReason.NO_PRIMARY,
+            effect = Effect.NOT_RUN,
+            step = Step.ROUTE,
+            peer = Peer.Member(host.name),
+            detail = "member ${host.name} is not the primary; the primary is ${view.primary ?: "not known"}",
+            retryAfter = RETRY_AFTER_LOSS,
+        ).left()
+    }
+
+    private fun run(attempt: Attempt, statements: List<Statement>): Either<Failure, CommittedWork> =
+        attempt.run(statements)
+            .mapLeft { it.toFailure(unanswered = Effect.UNKNOWN) }
+            .map { CommittedWork(it.results, it.point) }
+
+    private fun RelayRequest.missingKey() =
+        Failure(FailureReason.KEY_REQUIRED, Effect.NOT_RUN, Step.RESOLVE, Peer.Caller, "the request names no key")
+
+    private fun RelayRequest.abandoned() = Failure(
+        reason = FailureReason.ABANDONED,
+        effect = Effect.NOT_RUN,
+        step = Step.RESOLVE,
+        peer = Peer.Member(member),
+        detail = "the work with key \"${key?.value}\" did not run, and no earlier attempt will run any more",
+    )
+}
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DirectMemberPort.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DirectMemberPort.kt
@@ -86,6 +86,7 @@
 
     override fun close() {
         usable = false
+        lost.complete("the connection was closed")
         endpoint.close(session)
     }
 }
@@ -94,4 +95,7 @@
     get(timeout.inWholeNanoseconds, TimeUnit.NANOSECONDS)
 } catch (_: TimeoutException) {
     null
+} catch (_: InterruptedException) {
+    Thread.currentThread().interrupt()
+    null
 }
