--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/standin/StandinMembers.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/standin/StandinMembers.kt
@@ -53,7 +53,6 @@
     /** Closes the control connections. Database connections are closed by their users. */
     override fun close() {
         controls.forEach { it.close() }
-        threads.shutdown()
     }
 
     private fun openChannel(address: String): ManagedChannel = NettyChannelBuilder
