Refuse hostile input with typed answers

Cause: property tests with random requests found two inputs without a typed answer: a deeply nested body overflowed the parser's stack, and a path with a damaged escape ended in an exception. A sender that trickles bytes held its connection for ever, and a stopping server cut off a request that had arrived in part. Change: bodies nested deeper than 8 levels and unreadable paths are refused; a request has 30 s to arrive; a stop waits for requests that have begun to arrive. Conclusion: no input of the tests gets an untyped answer, an error of the server or no answer.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/CallerApi.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/CallerApi.kt
@@ -37,6 +37,7 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import org.http4k.core.toPathSegmentDecoded
 import org.http4k.routing.RoutingHttpHandler
 import org.http4k.routing.bind
 import org.http4k.routing.routes
@@ -77,7 +78,13 @@
         }
         val description = OPENAPI_PATH bind Method.GET to { openApi() }
         val known = routes(operations, description)
-        return { request -> known(request).let { if (isRoutingMiss(it)) unknownRoute(request, it) else it } }
+        return { request ->
+            if (hasReadablePath(request)) {
+                known(request).let { if (isRoutingMiss(it)) unknownRoute(request, it) else it }
+            } else {
+                unreadablePath()
+            }
+        }
     }
 
     private fun serve(operation: Operation): HttpHandler = { request ->
@@ -213,6 +220,16 @@
         return problem.toResponse(newRequestId())
     }
 
+    private fun hasReadablePath(request: Request): Boolean =
+        Either.catchOrThrow<IllegalArgumentException, String> { request.uri.path.toPathSegmentDecoded() }.isRight()
+
+    private fun unreadablePath(): Response {
+        val reason = FailureReason.INVALID_REQUEST
+        metrics.callerRejected(reason)
+        val detail = "the path holds a % that two hexadecimal digits do not follow"
+        return Problem.of(Problem.refused(reason, Step.PARSE, detail)).toResponse(newRequestId())
+    }
+
     private fun openApi(): Response {
         val text = checkNotNull(CallerApi::class.java.getResource(OPENAPI_RESOURCE)).readText()
         return Response(Status.OK).header("Content-Type", "application/json").body(text)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/StatementJson.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/StatementJson.kt
@@ -1,7 +1,6 @@
 package dev.kumquatknot.proxy.caller
 
 import arrow.core.Either
-import arrow.core.left
 import arrow.core.raise.Raise
 import arrow.core.raise.either
 import arrow.core.raise.ensure
@@ -31,13 +30,14 @@
     /** Most parameters of one statement. */
     const val MAXIMUM_PARAMETERS = 1_000
 
+    private const val MAXIMUM_DEPTH = 8
     private val NUMBER = Regex("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?")
     private val INTEGER = Regex("-?[0-9]+")
 
     /** Reads the statements of a request's [body]; the error says what is wrong with it. */
     fun parse(body: ByteBuffer): Either<String, List<Statement>> =
         either {
-            val document = decode(body).bind()
+            val document = decode(body)
             ensure(document is JsonObject) { "the body is not a JSON object" }
             ensureFields(document, setOf("statements"), "the body")
             val statements = document["statements"]
@@ -51,17 +51,34 @@
     /** Returns the results as a JSON array. */
     fun render(results: List<StatementResult>): JsonArray = JsonArray(results.map(::render))
 
-    private fun decode(body: ByteBuffer): Either<String, JsonElement> {
-        val text = Either.catchOrThrow<CharacterCodingException, String> {
-            Charsets.UTF_8.newDecoder().decode(body.duplicate()).toString()
+    private fun Raise<String>.decode(body: ByteBuffer): JsonElement {
+        val text =
+            Either.catchOrThrow<CharacterCodingException, String> {
+                Charsets.UTF_8.newDecoder().decode(body.duplicate()).toString()
+            }.mapLeft { "the body is not UTF-8" }.bind()
+        ensure(!isDeeperThan(MAXIMUM_DEPTH, text)) { "the body is nested deeper than $MAXIMUM_DEPTH levels" }
+        return Either.catchOrThrow<SerializationException, JsonElement> { Json.parseToJsonElement(text) }
+            .mapLeft { "the body is not JSON: ${it.message?.lineSequence()?.first().orEmpty()}" }
+            .bind()
+    }
+
+    /** Tells whether [json] nests deeper than [limit], without the recursion that a parser spends on it. */
+    private fun isDeeperThan(limit: Int, json: String): Boolean {
+        var depth = 0
+        var inString = false
+        var escaped = false
+        json.forEach { character ->
+            when {
+                escaped -> escaped = false
+                inString && character == '\\' -> escaped = true
+                character == '"' -> inString = !inString
+                inString -> Unit
+                character == '{' || character == '[' -> depth += 1
+                character == '}' || character == ']' -> depth -= 1
+            }
+            if (depth > limit) return true
         }
-        return text.fold(
-            { "the body is not UTF-8".left() },
-            { json ->
-                Either.catchOrThrow<SerializationException, JsonElement> { Json.parseToJsonElement(json) }
-                    .mapLeft { "the body is not JSON: ${it.message?.lineSequence()?.first().orEmpty()}" }
-            },
-        )
+        return false
     }
 
     private fun Raise<String>.statement(path: String, element: JsonElement): Statement {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/RequestGate.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/RequestGate.kt
@@ -19,7 +19,10 @@
  *
  * All state belongs to the event loop of the connection.
  */
-internal class RequestGate(private val stopping: () -> Boolean) : ChannelDuplexHandler() {
+internal class RequestGate(
+    private val receiveTimer: ReceiveTimer,
+    private val stopping: () -> Boolean,
+) : ChannelDuplexHandler() {
     private val waiting = ArrayDeque<FullHttpRequest>()
     private var busy = false
     private lateinit var context: ChannelHandlerContext
@@ -29,6 +32,7 @@
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        receiveTimer.received()
         val request = message as FullHttpRequest
         if (busy) waiting.addLast(request) else admit(request)
     }
@@ -87,7 +91,7 @@
     }
 
     private fun closeIfIdle() {
-        if (!busy) context.close()
+        if (!busy && !receiveTimer.isReceiving) context.close()
     }
 
     private fun releaseWaiting() {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/TransportProblem.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/TransportProblem.kt
@@ -15,6 +15,7 @@
 internal enum class TransportProblem(private val status: HttpResponseStatus, private val type: String) {
     BODY_TOO_LARGE(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too-large"),
     HEADERS_TOO_LARGE(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "too-large"),
+    REQUEST_TIMEOUT(HttpResponseStatus.REQUEST_TIMEOUT, "request-timeout"),
     INVALID_MESSAGE(HttpResponseStatus.BAD_REQUEST, "invalid-request"),
     ;
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServer.kt
@@ -34,6 +34,7 @@
  * @property maximumBodyBytes largest body of a request; a larger one is answered with 413.
  * @property maximumHeaderBytes largest header section of a request; a larger one is answered with 431.
  * @property idleTime time without a byte in either direction after which a connection without request is closed.
+ * @property receiveTime time from the first byte of a request to its last; a slower one is answered with 408.
  * @property lingerTime time for which a stopping server still answers on connections that are open but idle.
  * @property stopTime time that requests in flight have to finish when the server stops.
  */
@@ -45,6 +46,7 @@
     val maximumBodyBytes: Int = 1_048_576,
     val maximumHeaderBytes: Int = 81_920,
     val idleTime: Duration = 300.seconds,
+    val receiveTime: Duration = 30.seconds,
     val lingerTime: Duration = 1.seconds,
     val stopTime: Duration = 30.seconds,
 )
@@ -120,13 +122,15 @@
             return
         }
         connections.add(channel)
+        val receiveTimer = ReceiveTimer(settings.receiveTime)
         channel
             .pipeline()
             .addLast(IdleStateHandler(0, 0, settings.idleTime.inWholeMilliseconds, TimeUnit.MILLISECONDS))
+            .addLast(receiveTimer)
             .addLast(HttpServerCodec(MAXIMUM_LINE_BYTES, settings.maximumHeaderBytes, CHUNK_BYTES))
             .addLast(HttpServerKeepAliveHandler())
             .addLast(BodyAggregator(settings.maximumBodyBytes))
-            .addLast(RequestGate({ stopping }))
+            .addLast(RequestGate(receiveTimer) { stopping })
             .addLast(workers, Http4kChannelHandler(handler))
             .addLast(BrokenRequestHandler())
     }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/CallerApiSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/CallerApiSpec.kt
@@ -377,6 +377,8 @@
             "nested parameter" to { api.post("$DATABASE/read", "browse", body = parameter("[1]")) },
             "unknown route" to { api.post("/v1/databases", "browse") },
             "unknown method" to { api.get("$DATABASE/read", "browse") },
+            "body nested too deep" to { api.post("$DATABASE/read", "browse", body = "[".repeat(9)) },
+            "unreadable path" to { api.post("/v1/databases/%zz/read", "browse") },
             "unknown root" to { api.handler(Request(Method.GET, "/")) },
         )
 
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServerSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServerSpec.kt
@@ -13,16 +13,19 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
 import strikt.assertions.startsWith
 import java.io.IOException
 import java.net.InetAddress
 import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -180,6 +183,14 @@
             expectThat(waiting.answer()).endsWith("/slow:")
         }
 
+        @Test
+        fun `a request that trickles in is answered and the connection closed`() {
+            val socket = connect(start(WorkerPoolSettings(receiveTime = 100.milliseconds)))
+            socket.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc")
+            expectThat(socket.answer()).startsWith("HTTP/1.1 408")
+            expectThat(socket.isClosedByPeer()).isTrue()
+        }
+
         @Test
         fun `connections beyond the limit are closed at once`() {
             val port = start(WorkerPoolSettings(connections = 2))
@@ -191,6 +202,37 @@
         }
     }
 
+    @Nested
+    inner class `random bytes` {
+        private val seed = System.getProperty("kumquatknot.seed")?.toLong() ?: 20_261_204L
+        private val starts = listOf("", "GET ", "POST / HTTP/1.1\r\n", "GET / HTTP/1.1\r\nContent-Length: ", get("/a"))
+
+        @Test
+        fun `get a typed answer or a closed connection, and never an error of the server`() {
+            val port = start(WorkerPoolSettings(maximumBodyBytes = 1_000, maximumHeaderBytes = 500))
+            val random = Random(seed)
+            repeat(300) { round ->
+                val bytes = starts.random(random).toByteArray() + random.nextBytes(random.nextInt(1, 1_500))
+                val received =
+                    Socket(InetAddress.getLoopbackAddress(), port).use { socket ->
+                        socket.soTimeout = 20_000
+                        try {
+                            socket.getOutputStream().write(bytes + "\r\n\r\n".toByteArray())
+                            socket.shutdownOutput()
+                            String(socket.getInputStream().readAllBytes())
+                        } catch (failure: SocketException) {
+                            "closed: ${failure.message}"
+                        }
+                    }
+                val statuses = Regex("HTTP/1.1 (\\d+)").findAll(received).map { it.groupValues[1] }.toSet()
+                expectThat(
+                    statuses - setOf("200", "400", "413", "431"),
+                ).describedAs("seed $seed, round $round").isEmpty()
+            }
+            expectThat(connect(port).also { it.send(get("/after")) }.answer()).endsWith("/after:")
+        }
+    }
+
     @Nested
     inner class `a graceful stop` {
         @Test
@@ -218,6 +260,21 @@
             stopping.get(20, TimeUnit.SECONDS)
         }
 
+        @Test
+        fun `serves a request that had arrived in part`() {
+            val port = start(WorkerPoolSettings(lingerTime = 500.milliseconds))
+            val partial = connect(port).also {
+                it.send("POST /part HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab")
+            }
+            connect(port).also { it.send(get("/a")) }.answer()
+            val stopping = CompletableFuture.runAsync { server!!.stop() }
+            while (canConnect(port)) Thread.sleep(5)
+            Thread.sleep(700)
+            partial.send("cd")
+            expectThat(partial.answer()).endsWith("/part:abcd")
+            stopping.get(20, TimeUnit.SECONDS)
+        }
+
         @Test
         fun `gives up on requests that do not end in time`() {
             val port = start(WorkerPoolSettings(lingerTime = 10.milliseconds, stopTime = 100.milliseconds))
