--- a/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/document/ObjectReader.kt
+++ b/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/document/ObjectReader.kt
@@ -66,6 +66,10 @@
     fun <T : Any> values(name: String, example: String, parse: ValueParser<T>): List<T> =
         elements(name, example).mapNotNull { (index, element) -> parsed("$name[$index]", element, parse) }
 
+    /** Reads a list of values that may be left out, in which case it is empty. */
+    fun <T : Any> optionalValues(name: String, example: String, parse: ValueParser<T>): List<T> =
+        if (find(name) == null) emptyList() else values(name, example, parse)
+
     /** Reads an object that may be left out. */
     fun child(name: String): ObjectReader? {
         val value = find(name) ?: return null
--- a/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/settings/NodeSettings.kt
+++ b/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/settings/NodeSettings.kt
@@ -26,6 +26,7 @@
  * @property nodeAddress address at which the node serves other nodes.
  * @property platformAddress address of the platform's object API.
  * @property workers threads that serve requests.
+ * @property seedAddresses node addresses of other VMs, asked while the platform does not answer.
  */
 public data class NodeSettings(
     val vm: VmName,
@@ -36,9 +37,10 @@
     val platformAddress: String,
     val databaseAdapter: DatabaseAdapter,
     val workers: Int,
+    val seedAddresses: List<String> = emptyList(),
 ) {
     public companion object {
         /** Number of workers of a node whose settings name none. */
-        public const val DEFAULT_WORKERS: Int = 64
+        public const val DEFAULT_WORKERS: Int = 256
     }
 }
--- a/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/settings/NodeSettingsReader.kt
+++ b/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/settings/NodeSettingsReader.kt
@@ -52,6 +52,7 @@
         val adapter = root.required("databaseAdapter", "\"postgresql\"", ValueParsers.choice("adapter", adapters))
         val postgres = readPostgreSql(root, adapter)
         val workers = root.optional("workers", NodeSettings.DEFAULT_WORKERS, ValueParsers.integer(workerRange))
+        val seeds = root.optionalValues("seedAddresses", "[\"10.0.0.8:8082\"]", ValueParsers.peerAddress)
         root.rejectUnknown()
         rejectSharedAddresses(
             root,
@@ -71,6 +72,7 @@
                 platform.bind(),
                 if (adapter.bind() == AdapterName.STANDIN) DatabaseAdapter.StandIn else postgres.bind(),
                 workers.bind(),
+                seeds,
             )
         }
     }
--- a/kumquatknot-operations/src/test/kotlin/dev/kumquatknot/operations/settings/NodeSettingsReaderSpec.kt
+++ b/kumquatknot-operations/src/test/kotlin/dev/kumquatknot/operations/settings/NodeSettingsReaderSpec.kt
@@ -83,6 +83,7 @@
             "shared address" to
                 SETTINGS.replace("\"callerAddress\": \"127.0.0.1:0\"", "\"callerAddress\": \"127.0.0.1:8081\""),
             "platform without port" to SETTINGS.replace("127.0.0.1:9000", "127.0.0.1"),
+            "a seed without port" to SETTINGS.replace("\"standin\"", "\"standin\", \"seedAddresses\": [\"10.0.0.8\"]"),
             "no workers" to SETTINGS.replace("\"standin\"", "\"standin\", \"workers\": 0"),
             "workers as text" to SETTINGS.replace("\"standin\"", "\"standin\", \"workers\": \"8\""),
             "empty file" to " ",
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/ConfigurationReply.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/ConfigurationReply.java
@@ -29,6 +29,7 @@
   }
   private ConfigurationReply() {
     configuration_ = "";
+    sessionKeys_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -96,6 +97,53 @@
     }
   }
 
+  public static final int SESSION_KEYS_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object sessionKeys_ = "";
+  /**
+   * <pre>
+   * Keys that sign session tokens, in JSON, for a node that starts while the platform does not answer.
+   * </pre>
+   *
+   * <code>string session_keys = 2;</code>
+   * @return The sessionKeys.
+   */
+  @java.lang.Override
+  public java.lang.String getSessionKeys() {
+    java.lang.Object ref = sessionKeys_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      sessionKeys_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Keys that sign session tokens, in JSON, for a node that starts while the platform does not answer.
+   * </pre>
+   *
+   * <code>string session_keys = 2;</code>
+   * @return The bytes for sessionKeys.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSessionKeysBytes() {
+    java.lang.Object ref = sessionKeys_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      sessionKeys_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -113,6 +161,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(configuration_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, configuration_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(sessionKeys_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, sessionKeys_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -120,6 +171,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(configuration_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, configuration_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(sessionKeys_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, sessionKeys_);
+    }
     return size;
   }
   @java.lang.Override
@@ -146,6 +200,8 @@
 
     if (!getConfiguration()
         .equals(other.getConfiguration())) return false;
+    if (!getSessionKeys()
+        .equals(other.getSessionKeys())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -159,6 +215,8 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + CONFIGURATION_FIELD_NUMBER;
     hash = (53 * hash) + getConfiguration().hashCode();
+    hash = (37 * hash) + SESSION_KEYS_FIELD_NUMBER;
+    hash = (53 * hash) + getSessionKeys().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -291,6 +349,7 @@
       super.clear();
       bitField0_ = 0;
       configuration_ = "";
+      sessionKeys_ = "";
       return this;
     }
 
@@ -327,6 +386,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.configuration_ = configuration_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.sessionKeys_ = sessionKeys_;
+      }
     }
 
     @java.lang.Override
@@ -346,6 +408,11 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
+      if (!other.getSessionKeys().isEmpty()) {
+        sessionKeys_ = other.sessionKeys_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -375,6 +442,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
+            case 18: {
+              sessionKeys_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -484,6 +556,98 @@
       return this;
     }
 
+    private java.lang.Object sessionKeys_ = "";
+    /**
+     * <pre>
+     * Keys that sign session tokens, in JSON, for a node that starts while the platform does not answer.
+     * </pre>
+     *
+     * <code>string session_keys = 2;</code>
+     * @return The sessionKeys.
+     */
+    public java.lang.String getSessionKeys() {
+      java.lang.Object ref = sessionKeys_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        sessionKeys_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Keys that sign session tokens, in JSON, for a node that starts while the platform does not answer.
+     * </pre>
+     *
+     * <code>string session_keys = 2;</code>
+     * @return The bytes for sessionKeys.
+     */
+    public com.google.protobuf.ByteString
+        getSessionKeysBytes() {
+      java.lang.Object ref = sessionKeys_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        sessionKeys_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Keys that sign session tokens, in JSON, for a node that starts while the platform does not answer.
+     * </pre>
+     *
+     * <code>string session_keys = 2;</code>
+     * @param value The sessionKeys to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSessionKeys(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      sessionKeys_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Keys that sign session tokens, in JSON, for a node that starts while the platform does not answer.
+     * </pre>
+     *
+     * <code>string session_keys = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSessionKeys() {
+      sessionKeys_ = getDefaultInstance().getSessionKeys();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Keys that sign session tokens, in JSON, for a node that starts while the platform does not answer.
+     * </pre>
+     *
+     * <code>string session_keys = 2;</code>
+     * @param value The bytes for sessionKeys to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSessionKeysBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      sessionKeys_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:dev.kumquatknot.node.ConfigurationReply)
   }
 
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/ConfigurationReplyOrBuilder.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/ConfigurationReplyOrBuilder.java
@@ -29,4 +29,24 @@
    */
   com.google.protobuf.ByteString
       getConfigurationBytes();
+
+  /**
+   * <pre>
+   * Keys that sign session tokens, in JSON, for a node that starts while the platform does not answer.
+   * </pre>
+   *
+   * <code>string session_keys = 2;</code>
+   * @return The sessionKeys.
+   */
+  java.lang.String getSessionKeys();
+  /**
+   * <pre>
+   * Keys that sign session tokens, in JSON, for a node that starts while the platform does not answer.
+   * </pre>
+   *
+   * <code>string session_keys = 2;</code>
+   * @return The bytes for sessionKeys.
+   */
+  com.google.protobuf.ByteString
+      getSessionKeysBytes();
 }
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/NodeOuterClass.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/node/NodeOuterClass.java
@@ -191,27 +191,27 @@
       "\rIndirectProbe\022\014\n\004name\030\001 \001(\t\022\017\n\007address\030" +
       "\002 \001(\t\"&\n\022IndirectProbeReply\022\020\n\010answered\030" +
       "\001 \001(\010\",\n\024ConfigurationRequest\022\024\n\014known_n" +
-      "umber\030\001 \001(\003\"+\n\022ConfigurationReply\022\025\n\rcon" +
-      "figuration\030\001 \001(\t\"2\n\016VantageRequest\022\020\n\010da" +
-      "tabase\030\001 \001(\t\022\016\n\006member\030\002 \001(\t\"Y\n\014VantageR" +
-      "eply\022\035\n\020heard_ago_micros\030\001 \001(\003H\000\210\001\001\022\025\n\ra" +
-      "ccepted_term\030\002 \001(\003B\023\n\021_heard_ago_micros*" +
-      "0\n\004Rank\022\n\n\006URGENT\020\000\022\014\n\010STANDARD\020\001\022\016\n\nBAC" +
-      "KGROUND\020\002*=\n\tCondition\022\010\n\004LIVE\020\000\022\r\n\tSUSP" +
-      "ECTED\020\001\022\013\n\007LEAVING\020\002\022\n\n\006FAILED\020\0032\314\003\n\004Nod" +
-      "e\022M\n\007Execute\022!.dev.kumquatknot.node.Work" +
-      "Request\032\037.dev.kumquatknot.node.WorkReply" +
-      "\022R\n\006Gossip\022#.dev.kumquatknot.node.Gossip" +
-      "Message\032#.dev.kumquatknot.node.GossipMes" +
-      "sage\022`\n\017ProbeIndirectly\022#.dev.kumquatkno" +
-      "t.node.IndirectProbe\032(.dev.kumquatknot.n" +
-      "ode.IndirectProbeReply\022j\n\022FetchConfigura" +
-      "tion\022*.dev.kumquatknot.node.Configuratio" +
-      "nRequest\032(.dev.kumquatknot.node.Configur" +
-      "ationReply\022S\n\007Vantage\022$.dev.kumquatknot." +
-      "node.VantageRequest\032\".dev.kumquatknot.no" +
-      "de.VantageReplyB!\n\035dev.kumquatknot.proto" +
-      "col.nodeP\001b\006proto3"
+      "umber\030\001 \001(\003\"A\n\022ConfigurationReply\022\025\n\rcon" +
+      "figuration\030\001 \001(\t\022\024\n\014session_keys\030\002 \001(\t\"2" +
+      "\n\016VantageRequest\022\020\n\010database\030\001 \001(\t\022\016\n\006me" +
+      "mber\030\002 \001(\t\"Y\n\014VantageReply\022\035\n\020heard_ago_" +
+      "micros\030\001 \001(\003H\000\210\001\001\022\025\n\raccepted_term\030\002 \001(\003" +
+      "B\023\n\021_heard_ago_micros*0\n\004Rank\022\n\n\006URGENT\020" +
+      "\000\022\014\n\010STANDARD\020\001\022\016\n\nBACKGROUND\020\002*=\n\tCondi" +
+      "tion\022\010\n\004LIVE\020\000\022\r\n\tSUSPECTED\020\001\022\013\n\007LEAVING" +
+      "\020\002\022\n\n\006FAILED\020\0032\314\003\n\004Node\022M\n\007Execute\022!.dev" +
+      ".kumquatknot.node.WorkRequest\032\037.dev.kumq" +
+      "uatknot.node.WorkReply\022R\n\006Gossip\022#.dev.k" +
+      "umquatknot.node.GossipMessage\032#.dev.kumq" +
+      "uatknot.node.GossipMessage\022`\n\017ProbeIndir" +
+      "ectly\022#.dev.kumquatknot.node.IndirectPro" +
+      "be\032(.dev.kumquatknot.node.IndirectProbeR" +
+      "eply\022j\n\022FetchConfiguration\022*.dev.kumquat" +
+      "knot.node.ConfigurationRequest\032(.dev.kum" +
+      "quatknot.node.ConfigurationReply\022S\n\007Vant" +
+      "age\022$.dev.kumquatknot.node.VantageReques" +
+      "t\032\".dev.kumquatknot.node.VantageReplyB!\n" +
+      "\035dev.kumquatknot.protocol.nodeP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -319,7 +319,7 @@
     internal_static_dev_kumquatknot_node_ConfigurationReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_node_ConfigurationReply_descriptor,
-        new java.lang.String[] { "Configuration", });
+        new java.lang.String[] { "Configuration", "SessionKeys", });
     internal_static_dev_kumquatknot_node_VantageRequest_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_dev_kumquatknot_node_VantageRequest_fieldAccessorTable = new
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/distribution/ConfigurationRunner.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/distribution/ConfigurationRunner.kt
@@ -49,7 +49,9 @@
     fun fetchFrom(peer: VmRecord) {
         if (!fetching.compareAndSet(false, true)) return
         try {
-            peers.configuration(peer, number, FETCH_TIMEOUT).onRight { it?.let { offer(it, peer.name.value) } }
+            peers.configuration(peer, number, FETCH_TIMEOUT).onRight { known ->
+                known.configuration?.let { offer(it, peer.name.value) }
+            }
         } finally {
             fetching.set(false)
         }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/MemberHosts.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/MemberHosts.kt
@@ -51,6 +51,12 @@
     /** Returns the runner of [database] if this VM observes the group. */
     fun runner(database: DatabaseName): GroupRunner? = lock.withLock { groups[database]?.runner }
 
+    /** Returns the longest time for which a member of [database] has not answered this VM. */
+    fun lastGap(database: DatabaseName): Duration {
+        val group = lock.withLock { groups[database] } ?: return Duration.ZERO
+        return group.memberNames.mapNotNull { group.runner.vantage(it).heardAgo }.maxOrNull() ?: Duration.ZERO
+    }
+
     /** Ends the work under way at members of [database] that were taken for its primary and are not [primary]. */
     fun interruptSuperseded(database: DatabaseName, primary: MemberName) {
         val superseded = lock.withLock {
@@ -116,6 +122,7 @@
         private val ports: List<MemberPort>,
         val runner: GroupRunner,
     ) {
+        val memberNames: List<MemberName> = database.members.map { it.name }
         val hosts = HashMap<MemberName, HostedMember>()
 
         /** Members that were known as the primary since the last change. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/NodeParts.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/NodeParts.kt
@@ -1,6 +1,8 @@
 package dev.kumquatknot.proxy.node
 
+import dev.kumquatknot.core.databasegroup.Term
 import dev.kumquatknot.core.identity.DataCentre
+import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.platform.ObjectStore
 import dev.kumquatknot.core.time.Clock
@@ -26,6 +28,9 @@
  * What a node uses of the world around it.
  *
  * @property seed seed of all random choices of the node; different on every start.
+ * @property sessionKeys keys that sign session tokens, as the platform holds them, for nodes that start while the
+ * platform does not answer.
+ * @property onPromotion called after this node has promoted a primary.
  */
 public class NodeParts(
     public val store: ObjectStore,
@@ -36,6 +41,8 @@
     public val seed: Long,
     public val clock: Clock = SystemClock,
     public val workers: Int = DEFAULT_WORKERS,
+    public val sessionKeys: String? = null,
+    public val onPromotion: (DatabaseName, Term) -> Unit = { _, _ -> },
 ) {
     private companion object {
         const val DEFAULT_WORKERS = 64
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/NodeServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/NodeServer.kt
@@ -2,6 +2,7 @@
 
 import dev.kumquatknot.core.admission.EdgeLimits
 import dev.kumquatknot.core.identity.RequestId
+import dev.kumquatknot.core.request.HandleRequest
 import dev.kumquatknot.core.session.TokenCodec
 import dev.kumquatknot.core.transaction.TransactionHandleCodec
 import dev.kumquatknot.proxy.caller.CallerApi
@@ -49,6 +50,7 @@
 /** A [ProxyNode] with its servers: towards callers, operators and other nodes. */
 public class NodeServer(
     private val node: ProxyNode,
+    private val handle: HandleRequest,
     private val identity: NodeIdentity,
     private val parts: NodeParts,
     private val addresses: ListenAddresses,
@@ -107,7 +109,7 @@
 
     private fun callerApi(keys: SigningKeys) = CallerApi(
         configuration = { node.configuration },
-        handle = node::handle,
+        handle = handle,
         tokens = TokenCodec(keys.current, keys.previous),
         handles = TransactionHandleCodec(keys.current, keys.previous),
         limits = limits,
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
@@ -41,6 +41,7 @@
 import dev.kumquatknot.proxy.group.GroupRunnerThreads
 import dev.kumquatknot.proxy.membership.MembershipRunner
 import dev.kumquatknot.proxy.peer.GossipMessage
+import dev.kumquatknot.proxy.peer.PeerConfiguration
 import dev.kumquatknot.proxy.peer.PeerService
 import dev.kumquatknot.proxy.peer.PrimaryRecord
 import dev.kumquatknot.proxy.peer.Vantage
@@ -153,6 +154,12 @@
         known.primary?.let { PrimaryRecord(database, known.term, it) }
     }
 
+    /** Returns the time for which the primary that was replaced last has not answered this node. */
+    internal fun gapOf(database: DatabaseName): Duration = hosts.lastGap(database)
+
+    /** Returns the VMs that take new work. */
+    internal fun usableVms(): Set<VmName> = membership.view.usable.map { it.name }.toSet()
+
     /** Starts the node: joins the fleet, gets a configuration and begins to serve members. */
     public fun start() {
         platform.readOnce()
@@ -230,6 +237,7 @@
                 askVantage = ::askVantage,
                 rank = { ownership.coordinatorRank(database, identity.vm) },
                 publish = { view, reason ->
+                    parts.onPromotion(view.database, view.term)
                     parts.events.log(
                         Event.PROMOTION_WON,
                         "database" to view.database.value,
@@ -304,7 +312,8 @@
             return parts.peers.gossip(target, probe, INDIRECT_PROBE_TIMEOUT).isRight()
         }
 
-        override fun configuration(known: Long): FleetConfiguration? = holder.current.takeIf { it.number > known }
+        override fun configuration(known: Long): PeerConfiguration =
+            PeerConfiguration(holder.current.takeIf { it.number > known }, parts.sessionKeys)
 
         override fun vantage(database: DatabaseName, member: MemberName): Vantage {
             val heard = hosts.runner(database)?.vantage(member)?.heardAgo
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/RecordingHandler.kt
@@ -0,0 +1,30 @@
+package dev.kumquatknot.proxy.node
+
+import arrow.core.Either
+import dev.kumquatknot.core.outcome.FailureReason
+import dev.kumquatknot.core.request.CallerReply
+import dev.kumquatknot.core.request.CallerRequest
+import dev.kumquatknot.core.request.HandleRequest
+import dev.kumquatknot.core.request.RequestFailure
+import dev.kumquatknot.core.time.Clock
+import dev.kumquatknot.operations.today.DayRecorder
+
+/** Counts each request for today's page. */
+internal class RecordingHandler(
+    private val handle: HandleRequest,
+    private val recorder: DayRecorder,
+    private val clock: Clock,
+) {
+    /** Serves [request] and counts its outcome. */
+    fun handle(request: CallerRequest): Either<RequestFailure, CallerReply> {
+        val startedAt = clock.elapsed()
+        return handle.invoke(request)
+            .onRight { recorder.completed(request, it, clock.elapsed() - startedAt) }
+            .onLeft { record(request, it) }
+    }
+
+    private fun record(request: CallerRequest, failed: RequestFailure) {
+        val told = failed.failure.reason == FailureReason.ABANDONED
+        if (told) recorder.settledAsNotRun(request) else recorder.failed(request, failed.failure)
+    }
+}
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/GrpcNodeServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/GrpcNodeServer.kt
@@ -78,9 +78,12 @@
 
         override fun fetchConfiguration(request: ConfigurationRequest, observer: StreamObserver<ConfigurationReply>) {
             (observer as? ServerCallStreamObserver)?.setCompression("gzip")
-            val text = service.configuration(request.knownNumber)
-                ?.let { Json.encodeToString(FleetConfiguration.serializer(), it) }
-            observer.answer(ConfigurationReply.newBuilder().setConfiguration(text.orEmpty()).build())
+            val known = service.configuration(request.knownNumber)
+            val text = known.configuration?.let { Json.encodeToString(FleetConfiguration.serializer(), it) }
+            val reply = ConfigurationReply.newBuilder()
+                .setConfiguration(text.orEmpty())
+                .setSessionKeys(known.sessionKeys.orEmpty())
+            observer.answer(reply.build())
         }
 
         override fun vantage(request: VantageRequest, observer: StreamObserver<VantageReply>) {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/GrpcPeers.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/GrpcPeers.kt
@@ -54,11 +54,13 @@
         peer: VmRecord,
         known: Long,
         timeout: Duration,
-    ): Either<PeerFailure, FleetConfiguration?> {
+    ): Either<PeerFailure, PeerConfiguration> {
         val request = ConfigurationRequest.newBuilder().setKnownNumber(known).build()
         return call(peer, timeout) { stub ->
-            val text = stub.withCompression(COMPRESSION).fetchConfiguration(request).configuration
-            text.ifEmpty { null }?.let { Json.decodeFromString(FleetConfiguration.serializer(), it) }
+            val reply = stub.withCompression(COMPRESSION).fetchConfiguration(request)
+            val configuration =
+                reply.configuration.ifEmpty { null }?.let { Json.decodeFromString(FleetConfiguration.serializer(), it) }
+            PeerConfiguration(configuration, reply.sessionKeys.ifEmpty { null })
         }
     }
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/PeerPort.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/PeerPort.kt
@@ -49,6 +49,16 @@
  */
 public data class Vantage(val heardAgo: Duration?, val acceptedTerm: Term)
 
+/**
+ * What a node passes on in place of the platform.
+ *
+ * @property configuration the configuration in force where it is newer than the known one, else null.
+ * @property sessionKeys the keys that sign session tokens, as the platform holds them; null where not known.
+ */
+public data class PeerConfiguration(val configuration: FleetConfiguration?, val sessionKeys: String?) {
+    override fun toString(): String = "PeerConfiguration(number=${configuration?.number})"
+}
+
 /** The other nodes, as one node uses them. Each call waits at most the given time. */
 public interface PeerPort {
     /** Runs work at a member through the connections that [peer] holds. */
@@ -60,12 +70,12 @@
     /** Asks [peer] whether [target] answers it. */
     public fun probeIndirectly(peer: VmRecord, target: VmRecord, timeout: Duration): Either<PeerFailure, Boolean>
 
-    /** Returns the configuration of [peer] if its number is above [known], else null. */
+    /** Returns the configuration of [peer] if its number is above [known], and its session keys. */
     public fun configuration(
         peer: VmRecord,
         known: Long,
         timeout: Duration,
-    ): Either<PeerFailure, FleetConfiguration?>
+    ): Either<PeerFailure, PeerConfiguration>
 
     /** Asks when [peer] last heard from [member]. */
     public fun vantage(
@@ -90,8 +100,8 @@
     /** Probes [address] of the node [name]. */
     public fun probeIndirectly(name: VmName, address: String): Boolean
 
-    /** Returns the configuration in force if its number is above [known]. */
-    public fun configuration(known: Long): FleetConfiguration?
+    /** Returns the configuration in force if its number is above [known], and the session keys. */
+    public fun configuration(known: Long): PeerConfiguration
 
     /** Tells when this node last heard from [member]. */
     public fun vantage(database: DatabaseName, member: MemberName): Vantage
--- a/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/FakeNetwork.kt
+++ b/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/FakeNetwork.kt
@@ -3,12 +3,12 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import dev.kumquatknot.core.configuration.FleetConfiguration
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.membership.VmRecord
 import dev.kumquatknot.proxy.peer.GossipMessage
+import dev.kumquatknot.proxy.peer.PeerConfiguration
 import dev.kumquatknot.proxy.peer.PeerFailure
 import dev.kumquatknot.proxy.peer.PeerPort
 import dev.kumquatknot.proxy.peer.PeerService
@@ -64,7 +64,7 @@
             peer: VmRecord,
             known: Long,
             timeout: Duration,
-        ): Either<PeerFailure, FleetConfiguration?> = call(peer) { it.configuration(known) }
+        ): Either<PeerFailure, PeerConfiguration> = call(peer) { it.configuration(known) }
 
         override fun vantage(
             peer: VmRecord,
