Give stand-in members a latency towards VMs

A failover measured on loopback lacks the latency between data centres. And a member that was offered a term twice ended the open transactions of the term that it serves.

Settings name the data centres of VMs; connecting, batches and control calls between different ones take the latency each way. Only a term that is new to the member ends open transactions.

New tests: the latency both ways, a repeated proposal beside an open transaction, and three threads that count in one row while all members end alike.

--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseGroup.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseGroup.kt
@@ -35,7 +35,10 @@
         configuration.name to GroupMember(configuration, faults, runtime, ::H2Engine, ::wakeReplicas)
     }
     private val replication = Replication(members, settings.timing, clock)
-    private val endpoints = members.mapValues { MemberEndpoint(it.value, runtime, ::pull) }
+    private val endpoints = members.mapValues { (_, member) ->
+        val place = member.configuration.dataCentre
+        MemberEndpoint(member, runtime, { vm -> settings.timing.latency(settings.vms[vm], place) }, ::pull)
+    }
     private val workers = members.values.map { member ->
         ReplicationWorker(member.name.value) { replication.pull(member) }
     }
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseStandinSettings.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseStandinSettings.kt
@@ -2,6 +2,7 @@
 
 import dev.kumquatknot.core.configuration.DatabaseConfiguration
 import dev.kumquatknot.core.identity.DataCentre
+import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.operations.document.Problem
 import dev.kumquatknot.standin.process.SettingsChecks
 import dev.kumquatknot.standin.process.isAddress
@@ -17,6 +18,7 @@
  * free port.
  * @property schema statements that the first primary runs as its first transaction.
  * @property seed seed of what a fault switch leaves to chance.
+ * @property vms data centres of VMs; calls between a VM and a member in different ones take the latency each way.
  */
 @Serializable
 public data class DatabaseStandinSettings(
@@ -24,6 +26,7 @@
     val timing: DatabaseTiming = DatabaseTiming(),
     val schema: List<String> = emptyList(),
     val seed: Long = 1,
+    val vms: Map<VmName, DataCentre> = emptyMap(),
 ) {
     /** Returns what is wrong with these settings, which came from [file]; empty when they are usable. */
     public fun problems(file: String): List<Problem> {
@@ -55,7 +58,7 @@
  * @property connectMillis time that opening a connection takes.
  * @property serviceMicros time that a batch occupies its slot, on top of running its statements.
  * @property replicationLagMillis time after the commit before which a replica does not show an entry.
- * @property dataCentreLatencyMillis one-way latency between members in different data centres.
+ * @property dataCentreLatencyMillis one-way latency between different data centres.
  * @property lockTimeoutMillis time that a transaction waits for the write lock.
  * @property slotTimeoutMillis time that a batch waits for a slot.
  * @property idleTransactionMillis time after which a transaction without a further batch is rolled back.
@@ -77,8 +80,9 @@
     internal val slotTimeout: Duration get() = slotTimeoutMillis.milliseconds
     internal val idleTransaction: Duration get() = idleTransactionMillis.milliseconds
 
-    internal fun latency(from: DataCentre, to: DataCentre): Duration =
-        if (from == to) Duration.ZERO else dataCentreLatencyMillis.milliseconds
+    /** One-way latency; an unknown place is next to every other. */
+    internal fun latency(from: DataCentre?, to: DataCentre): Duration =
+        if (from == null || from == to) Duration.ZERO else dataCentreLatencyMillis.milliseconds
 
     internal fun check(reporter: SettingsChecks) {
         val fields = mapOf(
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/GroupRuntime.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/GroupRuntime.kt
@@ -29,6 +29,9 @@
         scheduler.schedule({ execute(task) }, delay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
     }
 
+    /** Runs [task] after [delay]; at once on this thread where there is none. */
+    fun after(delay: Duration, task: () -> Unit) = if (delay > Duration.ZERO) later(delay, task) else task()
+
     /** Tosses a coin. */
     @Synchronized
     fun chance(): Boolean = random.nextBoolean()
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/MemberEndpoint.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/MemberEndpoint.kt
@@ -10,6 +10,7 @@
 import dev.kumquatknot.core.member.MemberReport
 import dev.kumquatknot.core.member.TermProposal
 import dev.kumquatknot.core.outcome.Step
+import kotlin.time.Duration
 
 /** Receives the answer to a control call. */
 internal typealias AnswerControl = (Either<MemberFailure, MemberReport>) -> Unit
@@ -21,6 +22,7 @@
 internal class MemberEndpoint(
     val member: GroupMember,
     private val runtime: GroupRuntime,
+    private val latencyOf: (VmName) -> Duration,
     private val replicate: (GroupMember) -> Unit,
 ) {
     private val sessions = LinkedHashSet<MemberSession>()
@@ -36,25 +38,24 @@
         opened: (Either<MemberFailure, MemberSession>) -> Unit,
     ) = reach(vm, transport, refused = { opened(refusal(Step.CONNECT).left()) }) {
         runtime.pause(runtime.timing.connect)
-        opened(open(vm, transport, onLost))
+        val outcome = open(vm, transport, onLost)
+        runtime.after(latencyOf(vm)) { opened(outcome) }
     }
 
     fun report(vm: VmName, transport: Long, answer: AnswerControl) =
         control(vm, transport, Step.PROBE, answer) { member.report().right() }
 
     fun acceptTerm(vm: VmName, transport: Long, proposal: TermProposal, answer: AnswerControl) =
-        control(vm, transport, Step.PROMOTE, answer) { member.acceptTerm(proposal).onRight { endSupersededWork() } }
+        control(vm, transport, Step.PROMOTE, answer) { endingSupersededWork { member.acceptTerm(proposal) } }
 
     fun promote(vm: VmName, transport: Long, proposal: TermProposal, answer: AnswerControl) =
         control(vm, transport, Step.PROMOTE, answer) { member.promote(proposal) }
 
     fun follow(vm: VmName, transport: Long, term: Term, primary: MemberName, answer: AnswerControl) =
         control(vm, transport, Step.PROMOTE, answer) {
-            val before = member.report().acceptedTerm
-            member.follow(term, primary).onRight {
-                if (before < term) endSupersededWork()
-                replicate(member)
-            }.map { member.report() }
+            endingSupersededWork { member.follow(term, primary) }
+                .onRight { replicate(member) }
+                .map { member.report() }
         }
 
     fun set(fault: MemberFault) {
@@ -76,7 +77,7 @@
                 return MemberFailure.TooManyConnections(member.name, detail).left()
             }
             lateinit var session: MemberSession
-            session = MemberSession(member, vm, transport, runtime) { detail ->
+            session = MemberSession(member, vm, transport, latencyOf(vm), runtime) { detail ->
                 synchronized(sessions) { sessions -= session }
                 onLost(detail)
             }
@@ -92,18 +93,24 @@
         call: () -> Either<MemberFailure, MemberReport>,
     ) = reach(vm, transport, refused = { answer(refusal(step).left()) }) {
         val outcome = call()
-        if (member.faults.running && !swallows(vm, transport)) answer(outcome)
+        runtime.after(latencyOf(vm)) { if (member.faults.running && !swallows(vm, transport)) answer(outcome) }
     }
 
     private fun reach(vm: VmName, transport: Long, refused: () -> Unit, arrived: () -> Unit) {
         when {
             swallows(vm, transport) -> return
             !member.faults.running -> refused()
-            else -> runtime.execute(arrived)
+            else -> runtime.later(latencyOf(vm), arrived)
         }
     }
 
-    private fun endSupersededWork() = current().forEach { it.abort() }
+    /** Ends the open transactions of lower terms if [call] makes the member accept a higher one. */
+    private fun endingSupersededWork(
+        call: () -> Either<MemberFailure, MemberReport>,
+    ): Either<MemberFailure, MemberReport> {
+        val before = member.report().acceptedTerm
+        return call().onRight { if (it.acceptedTerm > before) current().forEach { session -> session.abort() } }
+    }
 
     private fun current(): List<MemberSession> = synchronized(sessions) { sessions.toList() }
 
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/MemberSession.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/MemberSession.kt
@@ -17,6 +17,7 @@
     private val member: GroupMember,
     private val vm: VmName,
     private val transport: Long,
+    private val latency: Duration,
     private val runtime: GroupRuntime,
     private val onLost: (String) -> Unit,
 ) {
@@ -31,7 +32,7 @@
     fun submit(batch: StatementBatch, answer: AnswerBatch) {
         if (closed || member.faults.isolates(vm)) return
         if (member.faults.silences(transport) && !runtime.chance()) return
-        enqueue { if (!closed) runAndAnswer(batch, answer) }
+        runtime.after(latency) { enqueue { if (!closed) runAndAnswer(batch, answer) } }
     }
 
     /** Ends an open transaction that the member can't go on with. */
@@ -55,7 +56,7 @@
         if (runner.inTransaction) limitIdleTime(++batches) else ++batches
         val committed = batch.end == BatchEnd.COMMIT && !batch.readOnly && outcome.isRight()
         if (committed && member.faults.takeLostCommitAnswer()) return
-        afterDelay(member.faults.delay) { if (reachesClient()) answer(outcome) }
+        runtime.after(latency + member.faults.delay) { if (reachesClient()) answer(outcome) }
     }
 
     private fun reachesClient() =
@@ -65,9 +66,6 @@
         enqueue { if (batches == batch && runner.inTransaction) lose("the transaction was idle for too long") }
     }
 
-    private fun afterDelay(delay: Duration, action: () -> Unit) =
-        if (delay == Duration.ZERO) action() else runtime.later(delay, action)
-
     @Synchronized
     private fun enqueue(task: () -> Unit) {
         val previous = last
--- a/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/database/DatabaseGroupSpec.kt
+++ b/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/database/DatabaseGroupSpec.kt
@@ -3,9 +3,11 @@
 import dev.kumquatknot.core.databasegroup.HistoryPoint
 import dev.kumquatknot.core.databasegroup.LogPosition
 import dev.kumquatknot.core.databasegroup.Term
+import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.member.BatchEnd
+import dev.kumquatknot.core.member.MemberConnection
 import dev.kumquatknot.core.member.MemberFailure
 import dev.kumquatknot.core.member.MemberRole
 import dev.kumquatknot.core.member.SqlValue
@@ -25,6 +27,8 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import kotlin.concurrent.thread
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -212,6 +216,17 @@
             expectThat(connect(a).ids(2)).isEmpty()
         }
 
+        @Test
+        fun `leave open transactions alone when a proposal is repeated`() {
+            port(a).acceptTerm(proposal(2), patience).value()
+            port(a).promote(proposal(2), patience).value()
+            val connection = connect(a)
+            connection.send(insert(1, term = 2, end = BatchEnd.KEEP_OPEN)).value()
+            port(a).acceptTerm(proposal(2), patience).value()
+            connection.send(batch(2)).value()
+            expectThat(connect(a).ids(2)).containsExactly(1L)
+        }
+
         @Test
         fun `reject reads and changes of a lower term`() {
             port(a).acceptTerm(proposal(2), patience).value()
@@ -347,7 +362,7 @@
 
         @Test
         fun `slow a member down`() {
-            var spent = kotlin.time.Duration.ZERO
+            var spent = Duration.ZERO
             DatabaseGroup(groupSettings(DatabaseTiming(connectMillis = 0, serviceMicros = 2_000)), clock) { spent = it }
                 .use { slow ->
                     val connection = slow.port(vm, a).connect(patience).value()
@@ -358,6 +373,57 @@
         }
     }
 
+    @Nested
+    inner class `concurrent transactions` {
+        private val threads = 3
+        private val commitsEach = 40
+
+        private fun count(connection: MemberConnection) {
+            repeat(commitsEach) { number ->
+                do {
+                    val read = batch(1, "SELECT id FROM costume WHERE state = 'counter'", readOnly = true)
+                    val next = connection.send(read.copy(end = BatchEnd.KEEP_OPEN)).value().results.single()
+                        .rows.single().let { (it.single() as SqlValue.Integer).value + 1 }
+                    val write = batch(1, "UPDATE costume SET id = $next WHERE state = 'counter'", request = "$number")
+                    val outcome = connection.send(write)
+                } while (outcome.isLeft())
+            }
+        }
+
+        @Test
+        fun `lose no update and leave all members alike`() {
+            connect(a).also { it.send(batch(1, "INSERT INTO costume VALUES (0, 'counter')")).value() }.close()
+            val workers = List(threads) { connect(a) }.map { thread { count(it) } }
+            workers.forEach { it.join() }
+            replicate()
+            listOf(a, b, c).forEach { member ->
+                val connection = connect(member)
+                expectThat(connection.ids(1)).containsExactly((threads * commitsEach).toLong())
+                connection.close()
+                expectThat(group.report(member).lastEntry).isEqualTo(group.report(a).lastEntry)
+            }
+        }
+    }
+
+    @Nested
+    inner class `a VM in another data centre` {
+        @Test
+        fun `waits the latency both ways`() {
+            val far = groupSettings(DatabaseTiming(connectMillis = 0, serviceMicros = 0, dataCentreLatencyMillis = 20))
+                .copy(vms = mapOf(vm to DataCentre("rosario-a"), otherVm to DataCentre("mendoza-a")))
+            DatabaseGroup(far, clock) {}.use { distant ->
+                val connection = distant.port(vm, a).connect(patience).value()
+                val sentAt = System.nanoTime()
+                connection.send(insert(1)).value()
+                val reportedAt = System.nanoTime()
+                distant.port(vm, a).report(patience).value()
+                expectThat(reportedAt - sentAt).isGreaterThanOrEqualTo(40.milliseconds.inWholeNanoseconds)
+                expectThat(System.nanoTime() - reportedAt).isGreaterThanOrEqualTo(40.milliseconds.inWholeNanoseconds)
+                expectThat(distant.port(otherVm, a).connect(patience).value().ids(1)).containsExactly(1L)
+            }
+        }
+    }
+
     @Nested
     inner class `replication threads` {
         @Test
