Keep spare threads for refusals and count requests in flight

Cause: a pool with exactly as many threads as requests may be in flight has none left to refuse the next one at once. Conclusion: limits and pool may be given the same number.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/EdgeLimits.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/EdgeLimits.kt
@@ -27,7 +27,7 @@
  *
  * Thread-safe; one lock guards the counts, and no other lock is taken while it is held.
  *
- * @param capacity requests in flight in all; keep it below the number of workers, so that a refusal finds a worker.
+ * @param capacity requests in flight in all; keep it below the number of threads, so that a refusal finds one.
  */
 public class EdgeLimits(private val capacity: Int) {
     private val lock = ReentrantLock()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/CallerApi.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/CallerApi.kt
@@ -68,6 +68,12 @@
 ) {
     private val reader = RequestReader(tokens, handles)
 
+    init {
+        metrics.gauge("kumquatknot_requests_in_flight", "Requests of callers in flight at this VM") {
+            limits.inFlight().toDouble()
+        }
+    }
+
     /** Returns the handler of all callers' routes. */
     public fun handler(): HttpHandler {
         val operations: RoutingHttpHandler = ROUTES.map { it.template bind it.method to serve(it.operation) }.reduce {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServer.kt
@@ -29,7 +29,9 @@
  * Settings of a [WorkerPoolServer].
  *
  * @property port port to listen on; 0 lets the system choose.
- * @property workers threads that run the handler; also the requests that run at the same time.
+ * @property workers requests that the handler may serve at the same time.
+ * @property spareWorkers threads beyond [workers], so that a handler that refuses more than [workers] requests at a
+ * time always finds a thread to refuse them at once.
  * @property connections open connections in all; more are closed at once.
  * @property maximumBodyBytes largest body of a request; a larger one is answered with 413.
  * @property maximumHeaderBytes largest header section of a request; a larger one is answered with 431.
@@ -42,6 +44,7 @@
     val address: String = "0.0.0.0",
     val port: Int = 0,
     val workers: Int = 256,
+    val spareWorkers: Int = 8,
     val connections: Int = 20_000,
     val maximumBodyBytes: Int = 1_048_576,
     val maximumHeaderBytes: Int = 81_920,
@@ -61,8 +64,15 @@
 public class WorkerPoolServer(private val settings: WorkerPoolSettings) : ServerConfig {
     override val stopMode: StopMode = StopMode.Immediate
 
+    @Volatile
+    private var server: RunningWorkerPoolServer? = null
+
+    /** Open connections of the server that was made last. */
+    public val openConnections: Int get() = server?.openConnections ?: 0
+
     /** Returns a server that runs [http]; its `start` returns once the port is open. */
-    override fun toServer(http: HttpHandler): Http4kServer = RunningWorkerPoolServer(settings, http)
+    override fun toServer(http: HttpHandler): Http4kServer =
+        RunningWorkerPoolServer(settings, http).also { server = it }
 }
 
 private class RunningWorkerPoolServer(
@@ -72,12 +82,17 @@
     private val acceptors = NioEventLoopGroup(1, DefaultThreadFactory("http-acceptor", true))
     private val eventLoops = NioEventLoopGroup(EVENT_LOOPS, DefaultThreadFactory("http-event-loop", true))
     private val workers =
-        UnorderedThreadPoolEventExecutor(settings.workers, DefaultThreadFactory("http-worker", true))
+        UnorderedThreadPoolEventExecutor(
+            settings.workers + settings.spareWorkers,
+            DefaultThreadFactory("http-worker", true),
+        )
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val stopped = CountDownLatch(1)
 
     @Volatile
     private var stopping = false
+
+    val openConnections: Int get() = connections.size
     private lateinit var listener: Channel
 
     override fun start(): Http4kServer {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/CallerApiSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/CallerApiSpec.kt
@@ -123,6 +123,7 @@
             val labels = """{kind="browse",outcome="completed",rank="background",team="pesebre"}"""
             expectThat(api.metrics.exposition())
                 .contains("kumquatknot_request_duration_seconds_count$labels 1")
+                .contains("kumquatknot_requests_in_flight 0.0")
                 .contains("""kumquatknot_reads_total{kind="browse",role="replica",team="pesebre"} 1.0""")
         }
 
@@ -402,6 +403,7 @@
             of(FailureReason.SUPERSEDED, Effect.NOT_RUN, Step.EXECUTE),
             of(FailureReason.SUPERSEDED, Effect.UNKNOWN, Step.CONFIRM),
             of(FailureReason.UNCONFIRMED, Effect.UNKNOWN, Step.CONFIRM),
+            of(FailureReason.ABANDONED, Effect.NOT_RUN, Step.RESOLVE),
             of(FailureReason.CONNECTION_LOST, Effect.UNKNOWN, Step.COMMIT),
             of(FailureReason.CONNECTION_REFUSED, Effect.NOT_RUN, Step.CONNECT),
             of(FailureReason.VM_UNREACHABLE, Effect.NOT_RUN, Step.RELAY, Peer.Vm(VmName("vm-2"))),
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/SaturatedEdgeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/SaturatedEdgeSpec.kt
@@ -28,7 +28,7 @@
     private val capacity = 8
     private val api = CallerApiFixture(capacity)
     private val release = CountDownLatch(1)
-    private val settings = WorkerPoolSettings(address = "127.0.0.1", workers = capacity + 2)
+    private val settings = WorkerPoolSettings(address = "127.0.0.1", workers = capacity, spareWorkers = 2)
     private val server: Http4kServer = api.handler.asServer(WorkerPoolServer(settings)).start()
     private val http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
 
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServerSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServerSpec.kt
@@ -34,6 +34,7 @@
     private val release = CountDownLatch(1)
     private val entered = CountDownLatch(1)
     private var server: Http4kServer? = null
+    private var config: WorkerPoolServer? = null
     private val sockets = mutableListOf<Socket>()
 
     private fun echo(request: Request) = Response(Status.OK).body("${request.uri.path}:${request.bodyString()}")
@@ -47,7 +48,9 @@
     }
 
     private fun start(settings: WorkerPoolSettings = WorkerPoolSettings(), handler: HttpHandler = blocking): Int {
-        val started = handler.asServer(WorkerPoolServer(settings.copy(address = "127.0.0.1"))).start()
+        val ownConfig = WorkerPoolServer(settings.copy(address = "127.0.0.1"))
+        config = ownConfig
+        val started = handler.asServer(ownConfig).start()
         server = started
         return started.port()
     }
@@ -129,7 +132,7 @@
                 running.decrementAndGet()
                 echo(request)
             }
-            val port = start(WorkerPoolSettings(workers = 3), handler)
+            val port = start(WorkerPoolSettings(workers = 2, spareWorkers = 1), handler)
             val answers =
                 (1..30).map { number ->
                     CompletableFuture.supplyAsync {
@@ -196,6 +199,7 @@
             val port = start(WorkerPoolSettings(connections = 2))
             val kept = List(2) { connect(port).also { it.send(get("/a")) } }
             kept.forEach { expectThat(it.answer()).endsWith("/a:") }
+            expectThat(config!!.openConnections).isEqualTo(2)
             expectThat(connect(port).isClosedByPeer()).isTrue()
             kept[0].send(get("/b"))
             expectThat(kept[0].answer()).endsWith("/b:")
