Weigh the first service times equally

Cause: slots idled while work waited, up to 4.4 s of slot time in a run (all work at 8x) and 1.6 s at ordinary load, although no member was slow. A moving average that starts at its first sample keeps that sample for hundreds of others, and a short first service time made all later ones look slow to the adaptive limit.

Change: the first samples of an average weigh equally.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/Averages.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/Averages.kt
@@ -5,9 +5,13 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
-/** Exponentially weighted moving average of durations, each sample weighing [weight]. */
+/**
+ * Exponentially weighted moving average of durations, each sample weighing [weight]. The first samples weigh equally,
+ * so that none of them stands out for long.
+ */
 internal class DurationAverage(private val weight: Double, private val initial: Duration) {
     private var seconds: Double? = null
+    private var samples = 0
 
     val value: Duration get() = seconds?.seconds ?: initial
 
@@ -15,7 +19,8 @@
 
     fun add(sample: Duration) {
         val latest = sample.toDouble(DurationUnit.SECONDS)
-        seconds = seconds?.let { it + weight * (latest - it) } ?: latest
+        samples++
+        seconds = seconds?.let { it + maxOf(weight, 1.0 / samples) * (latest - it) } ?: latest
     }
 }
 
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/admission/AdmissionQueueSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/admission/AdmissionQueueSpec.kt
@@ -16,6 +16,7 @@
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -168,6 +169,20 @@
 
     @Nested
     inner class `concurrency limit` {
+        @Test
+        fun `stays at the slots after a first statement that was exceptionally short`() {
+            queue.release(granted(item("browse")), 100.microseconds, 100.microseconds)
+            repeat(50) {
+                val now = 10.milliseconds * (it + 1)
+                queue.release(
+                    granted(item("browse", deadline = now + 1.seconds), now),
+                    now + 5.milliseconds,
+                    5.milliseconds,
+                )
+            }
+            expectThat(queue.load().limit).isEqualTo(3)
+        }
+
         @Test
         fun `falls while answers fail to come and returns to the slots afterwards`() {
             fill().forEach { queue.release(it, 1.seconds, 1.seconds, answered = false) }
