Read a session's own writes at replicas

The lag was known no finer than the interval between two looks, and the router took every point that it had not seen at a replica to be as new as the request.

The router uses that an acknowledged write had reached a replica, so it is at least as old as the shortest lag.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/routing/Router.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/routing/Router.kt
@@ -10,6 +10,7 @@
  * How a [Router] weighs members.
  *
  * @property catchUpShare part of a read's target that it may wait for a replica before it goes to the primary.
+ * @property catchUpMargin added to the time that a replica is expected to need, which is an estimate.
  * @property primaryShare part of a read's target by which a replica may answer later than the primary and still be
  * preferred, because the primary's slots are needed for changes.
  * @property jitter greatest relative change of a cost at random, so that VMs with the same facts spread their load.
@@ -17,6 +18,7 @@
  */
 public data class RoutingPolicy(
     val catchUpShare: Double = 0.5,
+    val catchUpMargin: Duration = 5.milliseconds,
     val primaryShare: Double = 0.5,
     val jitter: Double = 0.2,
     val retryAfter: Duration = 500.milliseconds,
@@ -84,7 +86,7 @@
         if (catchUp > patience) return null
         return Candidate(
             RouteStep(member.member, MemberRole.REPLICA, required, waitUntil = now + patience),
-            catchUp + member.cost(),
+            catchUp + policy.catchUpMargin + member.cost(),
         )
     }
 
@@ -107,12 +109,16 @@
         return minOf(untilDeadline, needs.target * policy.catchUpShare)
     }
 
-    /** Time until [member] is expected to reach [required]; null where nothing is known about its lag. */
+    /**
+     * Time until [member] is expected to reach [required]; null where nothing is known about its lag. What a session
+     * has seen acknowledged had reached a replica by then, and so is at least as old as the shortest lag.
+     */
     private fun catchUpTime(member: MemberFacts, required: HistoryPoint, facts: GroupFacts, now: Duration): Duration? {
         if (required.term > facts.term) return null
         val lag = member.lag ?: return null
         val writtenBefore = facts.provenPoints.firstOrNull { it.point.covers(required) }?.seenAt ?: now
-        return maxOf(Duration.ZERO, lag - (now - writtenBefore))
+        val shortestLag = facts.members.filter { it.member != facts.primary }.mapNotNull { it.lag }.min()
+        return maxOf(Duration.ZERO, lag - maxOf(now - writtenBefore, shortestLag))
     }
 
     private fun MemberFacts.cost(): Duration = (roundTrip + load.expectedAnswer) * (1.0 + policy.jitter * random())
