Hold a standing queue to a part of the target

Change: a queue that stands for 100 ms takes in what can be answered at the member within half the target; before, the whole target after 1 s. 0 ms and 100 ms with the whole target were tried too.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/AdmissionPolicy.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/AdmissionPolicy.kt
@@ -3,7 +3,6 @@
 import dev.kumquatknot.core.configuration.Rank
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * How an [AdmissionQueue] decides.
@@ -15,7 +14,9 @@
  * @property serviceTimeWeight weight of a sample in the service time that estimates use.
  * @property baselineWeight weight of a sample in the long-term service time that degradation is measured against.
  * @property usageWindow time over which the slot time of each rank is averaged.
- * @property standingInterval time after which a queue that exceeds its target counts as standing.
+ * @property standingInterval time after which a queue that exceeds its part of the target counts as standing.
+ * @property standingShare part of the target for which an item may stay at the member once the queue counts as
+ * standing; the rest is for the way there and back.
  * @property random numbers between 0 and 1 that spread the times at which refused callers come back.
  */
 public data class AdmissionPolicy(
@@ -26,7 +27,8 @@
     val serviceTimeWeight: Double = 0.1,
     val baselineWeight: Double = 0.002,
     val usageWindow: Duration = 500.milliseconds,
-    val standingInterval: Duration = 1.seconds,
+    val standingInterval: Duration = 100.milliseconds,
+    val standingShare: Double = 0.5,
     val random: () -> Double = { MIDDLE },
 ) {
     private companion object {
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/AdmissionQueue.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/AdmissionQueue.kt
@@ -44,8 +44,9 @@
         if (now + answer > item.deadline) {
             return refusal(RefusalReason.DEADLINE_UNREACHABLE, now + answer - item.deadline)
         }
-        if (flow.standing(answer, item.target, policy.standingInterval, now)) {
-            return refusal(RefusalReason.OVERLOADED, answer - item.target)
+        val bound = item.target * policy.standingShare
+        if (flow.standing(answer, bound, policy.standingInterval, now)) {
+            return refusal(RefusalReason.OVERLOADED, answer - bound)
         }
         return Admission.Queued(enqueue(Ticket(item, flow, now, expected), now), expectedWait)
     }
