--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/routing/LagEstimator.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/routing/LagEstimator.kt
@@ -22,7 +22,7 @@
         if (seen.size > kept) seen.removeFirst()
     }
 
-    /** Returns the lag of a replica that was at [point] at [at]; null where its point is older than all that is kept. */
+    /** Returns the lag of a replica that was at [point] at [at]; null where all known points are newer. */
     public fun lag(point: HistoryPoint, at: Duration): Duration? {
         val index = seen.indexOfLast { point.covers(it.point) }
         if (index < 0) return null
