--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailureDetector.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailureDetector.kt
@@ -194,7 +194,7 @@
 
     private fun isCutOff(replicas: List<MemberReport>, now: Duration): Boolean {
         if (now - termSince < timing.cutOffSilence * 2) return false
-        val deaf = replicas.count { it.primaryContactAge != null && it.primaryContactAge >= timing.cutOffSilence }
+        val deaf = replicas.count { it.primaryContactAge == null || it.primaryContactAge >= timing.cutOffSilence }
         return deaf == replicas.size && deaf >= database.majority
     }
 
