Keep proven ages exact in proportion to their size

Cause: the table of proven positions halved its older part with each 64 new samples, so that after a few hundred reports only the first one remained of it, and an old replica was taken to be older still.

Change: the sample with the closest neighbours for its age is dropped.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FreshnessLedger.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FreshnessLedger.kt
@@ -7,6 +7,7 @@
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** A primary that a majority still followed at a given time. */
 public data class Standing(val term: Term, val primary: MemberName)
@@ -115,10 +116,15 @@
         proven = thinned((rest + sample).sortedBy { it.sentAt })
     }
 
+    /** Drops the sample whose neighbours are closest for their age, so that distances grow in proportion to age. */
     private fun thinned(samples: List<Sample>): List<Sample> {
         if (samples.size <= PROVEN_KEPT) return samples
-        val older = samples.take(samples.size / 2).filterIndexed { index, _ -> index % 2 == 0 }
-        return older + samples.drop(samples.size / 2)
+        val newest = samples.last().sentAt
+        val dropped = (1 until samples.lastIndex).minBy { index ->
+            val gap = samples[index + 1].sentAt - samples[index - 1].sentAt
+            gap / (newest - samples[index].sentAt + FINEST_AGE)
+        }
+        return samples.filterIndexed { index, _ -> index != dropped }
     }
 
     private data class Stand(val term: Term, val sentAt: Duration)
@@ -128,5 +134,6 @@
     private companion object {
         const val PROVEN_KEPT = 256
         const val PENDING_KEPT = 64
+        val FINEST_AGE = 100.milliseconds
     }
 }
