--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailureDetector.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailureDetector.kt
@@ -66,7 +66,7 @@
         result: Either<MemberFailure, MemberReport>,
     ) {
         val known = contacts[member] ?: Contact()
-        val next = result.fold({ known.missed(sentAt, endedAt) }, { known.answered(it, sentAt, endedAt) })
+        val next = result.fold({ known.failed(it, sentAt, endedAt) }, { known.answered(it, sentAt, endedAt) })
         contacts = contacts + (member to next)
     }
 
@@ -142,8 +142,9 @@
             vantage?.takeIf { it.primary == primary && now - it.askedAt <= timing.reportValidity } ?: return false
         val silence = silenceOf(primary, now)
         val heard = asked.reports.any { it.heardAgo != null && it.heardAgo < silence }
-        val needed = missesNeeded() * if (asked.reports.isEmpty()) UNSUPPORTED_FACTOR else 1
-        return !heard && missesOf(primary) >= minOf(needed, timing.maximumMisses)
+        val factor = if (asked.reports.isEmpty()) UNSUPPORTED_FACTOR else 1
+        val needed = minOf(missesNeeded() * factor, timing.maximumMisses)
+        return !heard && missesOf(primary) >= needed && silence >= timing.probeTimeout * needed
     }
 
     /** Number of misses in a row that loss alone causes less often than [GroupTiming.falseAlarmRate]. */
@@ -204,7 +205,9 @@
     private fun Contact.answered(report: MemberReport, sentAt: Duration, endedAt: Duration): Contact =
         if (this.sentAt > sentAt) this else Contact(0, null, report, sentAt, endedAt, lossRateAfterAnswer())
 
-    private fun Contact.missed(sentAt: Duration, endedAt: Duration): Contact {
+    private fun Contact.failed(failure: MemberFailure, sentAt: Duration, endedAt: Duration): Contact {
+        val unanswered = failure is MemberFailure.NoAnswer || failure is MemberFailure.Unreachable
+        if (!unanswered) return copy(misses = 0, silentSince = null)
         val stalled = endedAt - sentAt > timing.probeTimeout + timing.pauseBound
         if (stalled) return this
         return copy(misses = misses + 1, silentSince = silentSince ?: sentAt)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/group/GroupRunner.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/group/GroupRunner.kt
@@ -32,6 +32,7 @@
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.Duration
@@ -48,7 +49,7 @@
 /**
  * Settings of a [GroupRunner].
  *
- * @property incarnation number unique to this runner among all that ever ran under the name [vm], such as 64 random
+ * @property incarnation number unique to this process among all that ever ran under the name [vm], such as 64 random
  * bits. A member accepts a term once more from the same proposer, so that a restarted VM must not take the name of
  * the proposer that it was before.
  * @property seed seed of the jitter between attempts.
@@ -98,7 +99,7 @@
     private val freshness = FreshnessLedger(database.majority, clock, onWaiting = ::wake)
     private val coordinator = GroupCoordinator(
         database = database,
-        proposer = VmName("${settings.vm}/${settings.incarnation.toULong().toString(HEXADECIMAL)}"),
+        proposer = settings.newProposer(),
         timing = settings.timing,
         rank = ports.rank,
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed),
@@ -243,5 +244,12 @@
 
     private companion object {
         const val HEXADECIMAL = 16
+        val runnersStarted = AtomicLong()
+
+        /** A name that no other runner has, not even an earlier one for the same group in this process. */
+        fun GroupRunnerSettings.newProposer(): VmName {
+            val process = incarnation.toULong().toString(HEXADECIMAL)
+            return VmName("$vm/$process/${runnersStarted.incrementAndGet()}")
+        }
     }
 }
--- /dev/null
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/group/GroupRunnerSpec.kt
@@ -0,0 +1,245 @@
+package dev.kumquatknot.proxy.group
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.kumquatknot.core.configuration.DatabaseConfiguration
+import dev.kumquatknot.core.configuration.MemberConfiguration
+import dev.kumquatknot.core.databasegroup.Confirmation
+import dev.kumquatknot.core.databasegroup.GroupView
+import dev.kumquatknot.core.databasegroup.HistoryPoint
+import dev.kumquatknot.core.databasegroup.LogPosition
+import dev.kumquatknot.core.databasegroup.Standing
+import dev.kumquatknot.core.databasegroup.Term
+import dev.kumquatknot.core.identity.DataCentre
+import dev.kumquatknot.core.identity.DatabaseName
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.identity.RequestId
+import dev.kumquatknot.core.identity.VmName
+import dev.kumquatknot.core.member.BatchReply
+import dev.kumquatknot.core.member.MemberFailure
+import dev.kumquatknot.core.member.MemberPort
+import dev.kumquatknot.core.member.MemberReport
+import dev.kumquatknot.core.member.MemberRole
+import dev.kumquatknot.core.outcome.Step
+import dev.kumquatknot.core.time.Clock
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+import java.time.Instant
+import java.util.concurrent.Callable
+import java.util.concurrent.ScheduledFuture
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
+
+class GroupRunnerSpec {
+    private val clock = ManualClock()
+    private val timer = ManualTimer(clock)
+    private val members = listOf("a", "b", "c").map { Member(MemberName(it)) }
+    private val database = DatabaseConfiguration(
+        DatabaseName("inventory"),
+        members.map { MemberConfiguration(it.name, DataCentre("dc"), "127.0.0.1:0", slots = 3, connections = 20) },
+    )
+    private val published = mutableListOf<GroupView>()
+    private val runner = newRunner()
+
+    private fun newRunner() = GroupRunner(
+        database,
+        GroupRunnerPorts(members.map { it.port() }, publish = { view, _ -> published += view }),
+        GroupRunnerSettings(VmName("vm-1"), incarnation = 7),
+        GroupRunnerThreads(timer, Runnable::run),
+        clock,
+    )
+
+    @AfterEach
+    fun `end the timer`() {
+        timer.shutdownNow()
+    }
+
+    private fun started(): MemberName {
+        runner.start()
+        timer.advance(3.seconds)
+        return runner.view().primary!!
+    }
+
+    @Nested
+    inner class `a group without a primary` {
+        @Test
+        fun `gets one, which the others follow and listeners hear of`() {
+            val heard = mutableListOf<GroupView>()
+            runner.onView { heard += it }
+            val primary = started()
+            expectThat(members.filter { it.role == MemberRole.PRIMARY }.map { it.name }).isEqualTo(listOf(primary))
+            expectThat(members.count { it.following == primary }).isEqualTo(2)
+            expectThat(heard.map { it.primary }).isEqualTo(listOf(primary))
+            expectThat(published).hasSize(1)
+        }
+
+        @Test
+        fun `is left alone by a stopped runner`() {
+            runner.start()
+            runner.stop()
+            timer.advance(3.seconds)
+            expectThat(runner.view().primary).isEqualTo(null)
+        }
+    }
+
+    @Nested
+    inner class `a primary that no longer answers anybody` {
+        @Test
+        fun `is replaced within three seconds`() {
+            val first = started()
+            members.first { it.name == first }.refuses = true
+            members.filter { it.name != first }.forEach { it.hears = false }
+            timer.advance(3.seconds)
+            expectThat(runner.view().primary).isNotNull().isNotEqualTo(first)
+        }
+
+        @Test
+        fun `stays while its replicas hear it and nobody was asked for long enough`() {
+            val first = started()
+            members.first { it.name == first }.refuses = true
+            timer.advance(3.seconds)
+            expectThat(runner.view().primary).isEqualTo(first)
+        }
+    }
+
+    @Nested
+    inner class `the request path` {
+        @Test
+        fun `learns the confirmation of a write from the reply of a replica`() {
+            val primary = started()
+            val point = HistoryPoint(runner.view().term, LogPosition(40))
+            val reply = BatchReply(RequestId("r"), emptyList(), point, point.term)
+            runner.observeReply(members.first { it.name != primary }.name, clock.elapsed(), reply)
+            expectThat(runner.awaitConfirmation(point, primary, clock.elapsed())).isEqualTo(Confirmation.CONFIRMED)
+        }
+
+        @Test
+        fun `learns that a majority follows the primary, and ages`() {
+            val primary = started()
+            val since = clock.elapsed()
+            timer.advance(300.milliseconds)
+            val standing = Standing(runner.view().term, primary)
+            expectThat(runner.awaitStanding(since, clock.elapsed())).isEqualTo(standing)
+            expectThat(runner.provenAge(runner.view().pointOf(primary))).isNotNull()
+        }
+
+        @Test
+        fun `answers other VMs when it last heard a member`() {
+            val primary = started()
+            expectThat(runner.vantage(primary).heardAgo).isNotNull()
+        }
+    }
+
+    @Test
+    fun `proposes under another name than an earlier runner of the same VM`() {
+        started()
+        runner.stop()
+        members.forEach {
+            it.role = MemberRole.REPLICA
+            it.hears = false
+        }
+        newRunner().start()
+        timer.advance(5.seconds)
+        val proposers = members.flatMap { it.proposers }.toSet()
+        expectThat(proposers).hasSize(2)
+        expectThat(proposers.map { it.value.substringBefore('/') }.toSet()).contains("vm-1")
+    }
+
+    private inner class Member(val name: MemberName) {
+        var role = MemberRole.REPLICA
+        var following: MemberName? = null
+        var refuses = false
+        var hears = true
+        var heardAt: Duration? = null
+        val proposers = mutableSetOf<VmName>()
+        private var term = Term(0)
+        private var last = HistoryPoint.START
+
+        fun port() = MemberPort(
+            name,
+            connect = { unreachable() },
+            report = { timeout -> answer(timeout) { report() } },
+            acceptTerm = { proposal, timeout ->
+                answer(timeout) {
+                    term = proposal.term
+                    proposers += proposal.proposer
+                    report()
+                }
+            },
+            promote = { _, timeout ->
+                answer(timeout) {
+                    role = MemberRole.PRIMARY
+                    last = HistoryPoint(term, LogPosition(last.position.value + 1))
+                    report()
+                }
+            },
+            follow = { followed, primary, timeout ->
+                answer(timeout) {
+                    term = followed
+                    following = primary
+                    heardAt = clock.elapsed()
+                    report()
+                }
+            },
+        )
+
+        private fun report(): MemberReport {
+            if (hears && following != null) heardAt = clock.elapsed()
+            val age = heardAt?.let { clock.elapsed() - it }
+            return MemberReport(name, role, term, last, age.takeIf { role == MemberRole.REPLICA })
+        }
+
+        private fun answer(timeout: Duration, run: () -> MemberReport): Either<MemberFailure, MemberReport> {
+            if (!refuses) return run().right()
+            return MemberFailure.Unreachable(name, Step.PROBE, "refused within $timeout").left()
+        }
+
+        private fun unreachable() = MemberFailure.Unreachable(name, Step.CONNECT, "no statements here").left()
+    }
+
+    private class ManualClock : Clock {
+        var time: Duration = Duration.ZERO
+
+        override fun elapsed(): Duration = time
+
+        override fun instant(): Instant = Instant.EPOCH
+    }
+
+    /** Runs what is due when its clock is advanced; the thread of the pool never runs anything. */
+    private class ManualTimer(private val clock: ManualClock) : ScheduledThreadPoolExecutor(1) {
+        private class Entry(val at: Duration, val command: Runnable, val future: ScheduledFuture<*>)
+
+        private val entries = mutableListOf<Entry>()
+
+        override fun schedule(command: Runnable, delay: Long, unit: TimeUnit): ScheduledFuture<*> {
+            val future = super.schedule(Callable { }, 1, TimeUnit.DAYS)
+            entries += Entry(clock.time + unit.toNanos(delay).nanoseconds, command, future)
+            return future
+        }
+
+        fun advance(by: Duration) {
+            val end = clock.time + by
+            while (true) {
+                entries.removeAll { it.future.isCancelled }
+                val next = entries.filter { it.at <= end }.minByOrNull { it.at } ?: break
+                entries -= next
+                next.future.cancel(false)
+                clock.time = maxOf(clock.time, next.at)
+                next.command.run()
+            }
+            clock.time = maxOf(clock.time, end)
+        }
+    }
+}
