Keep a relayed request unknown once it may have run

Cause: a relay that got no answer from the gateway and then a refusal from a deputy returned the refusal, so a write that had run was told as not run when its second run failed, for example on the unique id that the first one wrote. Ruled out: the retries of the entry node, which already kept the unknown outcome. Change: the relay keeps the outcome unknown over all VMs that it asks for one request. Before: the new spec gets NOT_RUN while the row is there. After: UNKNOWN. Conclusion: not run is said only when no VM may have run the request.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/entry/Relay.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/entry/Relay.kt
@@ -47,12 +47,12 @@
     fun send(member: MemberConfiguration, request: RelayRequest, deadline: Duration): Either<Failure, Relayed> {
         var last = noVm(request)
         order(member).take(CANDIDATES).forEach { vm ->
-            if (deadline <= clock.elapsed()) return deadlinePassed(request).left()
+            if (deadline <= clock.elapsed()) return deadlinePassed(request).after(last).left()
             val result = sendTo(vm, request, deadline)
             val failure = result.leftOrNull() ?: return result
+            last = failure.after(last)
             val mayTryNext = failure.isAboutVm && (failure.effect == Effect.NOT_RUN || request.isRepeatable)
-            if (!mayTryNext) return result
-            last = failure
+            if (!mayTryNext) return last.left()
         }
         return last.left()
     }
@@ -82,6 +82,10 @@
         retryAfter = RETRY_AFTER,
     )
 
+    /** A request that may have run at an [earlier] VM stays unknown, whatever a later one says. */
+    private fun Failure.after(earlier: Failure): Failure =
+        if (earlier.effect == Effect.UNKNOWN) copy(effect = Effect.UNKNOWN) else this
+
     private val Failure.isAboutVm: Boolean
         get() = reason == FailureReason.VM_UNREACHABLE || reason == FailureReason.SHUTTING_DOWN
 
--- a/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/LocalFleetSpec.kt
+++ b/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/LocalFleetSpec.kt
@@ -1,6 +1,7 @@
 package dev.kumquatknot.standin.fleet
 
 import arrow.core.getOrElse
+import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.member.MemberRole
 import dev.kumquatknot.core.member.SqlValue
 import dev.kumquatknot.core.outcome.Effect
@@ -21,6 +22,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.seconds
 
 class LocalFleetSpec {
     private val fleet = LocalFleet(seed = 11)
@@ -120,6 +122,23 @@
         }
     }
 
+    @Nested
+    inner class `a write that may run twice` {
+        @Test
+        fun `stays unknown when its first run is not answered and its second one fails`() {
+            fleet.network.loseAnswers(VmName("entry-0"))
+            val written = fleet.run(
+                fleet.nodes[1],
+                Work.Write(listOf(insert("once", 1))),
+                deadline = 2.seconds,
+            ).leftOrNull()!!
+            fleet.network.heal()
+            val read = fleet.run(fleet.nodes[2], Work.Read(listOf(select("once"))), written.token).reply()
+            expectThat(read.value()).isEqualTo(1L)
+            expectThat(written.failure.effect).isEqualTo(Effect.UNKNOWN)
+        }
+    }
+
     @Nested
     inner class `an interactive transaction` {
         @Test
