Tell the truth about a commit that comes again

Cause: a commit of a transaction that had ended was always refused as not run, also when an earlier commit of it had taken effect and its answer was lost; a commit whose key had a record failed as a failed statement. Ruled out: the confirmation of commits; the first commit was told as unknown. Change: a VM remembers which of its transactions may have committed, in bounded memory; such a commit is unknown, and with a key it gets the first answer from the record, also when the VM that held the transaction is gone. Numbers of transactions start at random, so that a handle from before a restart never meets a new transaction. Conclusion: not run for a commit is said only when no commit of that transaction may have taken effect.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/entry/EntryService.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/entry/EntryService.kt
@@ -105,8 +105,23 @@
     ): Either<Failure, Served> {
         val primary = groups.group(database.name).primary
         val member = database.members.firstOrNull { it.name == primary } ?: database.members.first()
-        val vm = findVm(handle.vm) ?: return request.holderGone(handle).left()
-        return relay.sendTo(vm, request.toRelayRequest(member), request.deadline).flatMap { served(member, it) }
+        val vm = findVm(handle.vm)
+        if (vm == null && request.work is Work.Commit && request.key != null) {
+            return atPrimary(database, request.copy(work = Work.Resolve))
+        }
+        val result = if (vm == null) {
+            request.holderGone(handle).left()
+        } else {
+            relay.sendTo(vm, request.toRelayRequest(member), request.deadline)
+        }
+        return result.mapLeft { request.afterEarlierCommit(it) }.flatMap { served(member, it) }
+    }
+
+    /** A VM that was not reached proves nothing about a commit that the session has sent before. */
+    private fun CallerRequest.afterEarlierCommit(failure: Failure): Failure {
+        val sentBefore = work is Work.Commit && database in token.unresolved
+        val unproved = sentBefore && failure.step in setOf(Step.ROUTE, Step.RELAY)
+        return if (unproved) failure.copy(effect = Effect.UNKNOWN) else failure
     }
 
     /** Whether the last answer named another primary than [asked], so that no pause is needed. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
@@ -81,7 +81,11 @@
         configurationNumber = { holder.current.number },
     )
     private val hosts = MemberHosts(parts.memberPorts, ::newRunner, clock, parts.events)
-    private val transactions = TransactionTable(clock, ::logExpired)
+    private val transactions = TransactionTable(
+        clock = clock,
+        firstNumber = RandomSource.XO_RO_SHI_RO_128_PP.create(parts.seed).nextLong(1, Long.MAX_VALUE / 2),
+        onExpired = ::logExpired,
+    )
     private val keyed = KeyedExecution(clock)
     private val writes = WriteExecution(keyed)
     private val work = WorkService(
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/transaction/TransactionExecution.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/transaction/TransactionExecution.kt
@@ -20,6 +20,7 @@
 import dev.kumquatknot.core.outcome.FailureReason
 import dev.kumquatknot.core.outcome.Peer
 import dev.kumquatknot.core.outcome.Step
+import dev.kumquatknot.core.request.Work
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.relay.RelayAnswer
 import dev.kumquatknot.proxy.relay.RelayRequest
@@ -93,19 +94,42 @@
         result.map { RelayAnswer(it.results, request.needs.required, MemberRole.PRIMARY) }
     }
 
-    /** Commits the transaction [number] and waits for its confirmation. */
-    fun commit(number: Long, request: RelayRequest, deadline: Duration): Either<Failure, RelayAnswer> {
-        val committed = using(number, request) { transaction ->
-            val result = transaction.send(request, request.recordStatements(), BatchEnd.COMMIT, deadline)
-            if (result.isRight() || result.isLeft { it.endsTransaction }) end(transaction, clean = result.isRight())
-            result.map { transaction.host to it }
+    /**
+     * Commits the transaction [number] and waits for its confirmation. A repetition with the same key gets the first
+     * answer, from the record at the primary [host].
+     */
+    fun commit(
+        host: MemberHost,
+        number: Long,
+        request: RelayRequest,
+        deadline: Duration,
+    ): Either<Failure, RelayAnswer> {
+        val committed = using(number, request) { commitOpen(it, request, deadline) }
+        val failure = committed.leftOrNull()
+        if (request.key != null && failure != null && failure.mayBeRepetition) {
+            return writes.resolve(host, request, deadline, statements = emptyList())
         }
-        return committed.flatMap { (host, reply) ->
-            writes.confirm(host, reply.point, deadline)
+        return committed.flatMap { (primary, reply) ->
+            writes.confirm(primary, reply.point, deadline)
                 .map { RelayAnswer(emptyList(), reply.point, MemberRole.PRIMARY) }
         }
     }
 
+    private fun commitOpen(
+        transaction: OpenTransaction,
+        request: RelayRequest,
+        deadline: Duration,
+    ): Either<Failure, Pair<MemberHost, BatchReply>> {
+        val result = transaction.send(request, request.recordStatements(), BatchEnd.COMMIT, deadline)
+        if (result.isRight() || result.isLeft { it.effect == Effect.UNKNOWN }) table.recordCommit(transaction.number)
+        if (result.isRight() || result.isLeft { it.endsTransaction }) end(transaction, clean = result.isRight())
+        return result.map { transaction.host to it }
+    }
+
+    /** The transaction has ended, or its record met another one: the key tells what became of the first commit. */
+    private val Failure.mayBeRepetition: Boolean
+        get() = reason == FailureReason.TRANSACTION_ENDED || reason == FailureReason.STATEMENT_FAILED
+
     /** Rolls the transaction [number] back. */
     fun rollback(number: Long, request: RelayRequest, deadline: Duration): Either<Failure, RelayAnswer> =
         using(number, request) { transaction ->
@@ -176,7 +200,7 @@
 
     private fun RelayRequest.ended(number: Long) = Failure(
         reason = FailureReason.TRANSACTION_ENDED,
-        effect = Effect.NOT_RUN,
+        effect = if (work is Work.Commit && table.mayHaveCommitted(number)) Effect.UNKNOWN else Effect.NOT_RUN,
         step = Step.EXECUTE,
         peer = Peer.Local,
         detail = "transaction $number has ended: committed, rolled back, or idle for more than " +
@@ -185,7 +209,7 @@
 
     private fun RelayRequest.busy(number: Long) = Failure(
         reason = FailureReason.INVALID_REQUEST,
-        effect = Effect.NOT_RUN,
+        effect = if (work is Work.Commit) Effect.UNKNOWN else Effect.NOT_RUN,
         step = Step.EXECUTE,
         peer = Peer.Member(member),
         detail = "transaction $number is running another request",
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/transaction/TransactionTable.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/transaction/TransactionTable.kt
@@ -40,9 +40,14 @@
  *
  * Lock order: the lock of one transaction, then those of its member's gateway.
  */
-internal class TransactionTable(private val clock: Clock, private val onExpired: (OpenTransaction) -> Unit) {
+internal class TransactionTable(
+    private val clock: Clock,
+    private val firstNumber: Long = 1,
+    private val onExpired: (OpenTransaction) -> Unit,
+) {
     private val open = ConcurrentHashMap<Long, OpenTransaction>()
-    private val numbers = AtomicLong()
+    private val numbers = AtomicLong(firstNumber - 1)
+    private val committed = CommittedNumbers()
 
     /** Number of open transactions. */
     val size: Int get() = open.size
@@ -59,6 +64,13 @@
     fun find(number: Long, team: TeamName, database: DatabaseName): OpenTransaction? =
         open[number]?.takeIf { it.team == team && it.database == database }
 
+    /** Notes that a commit of the transaction [number] took effect or may have. */
+    fun recordCommit(number: Long) = committed.add(number)
+
+    /** Whether the transaction [number], which is not open, may have committed; false is a proof. */
+    fun mayHaveCommitted(number: Long): Boolean =
+        number < firstNumber || number > numbers.get() || committed.mayContain(number)
+
     /** Removes a transaction; tells whether it was still there. */
     fun remove(transaction: OpenTransaction): Boolean = open.remove(transaction.number, transaction)
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/work/KeyedExecution.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/work/KeyedExecution.kt
@@ -57,12 +57,17 @@
      * Finds the outcome of the work that carried [key]. Where there is no record, it closes the key to all attempts
      * under way, so that the answer "not run" stays true.
      */
-    fun resolve(attempt: Attempt, key: IdempotencyKey): Either<Failure, ResolvedWork> = either {
+    fun resolve(
+        attempt: Attempt,
+        key: IdempotencyKey,
+        statements: List<Statement>?,
+    ): Either<Failure, ResolvedWork> = either {
         repeat(ATTEMPTS) {
-            when (val found = lookup(attempt, key, statements = null).bind()) {
+            when (val found = lookup(attempt, key, statements).bind()) {
                 is FoundRecord.Same -> return@either ResolvedWork.Ran(found.work)
                 is FoundRecord.Abandoned -> return@either ResolvedWork.NotRun(found.point)
-                FoundRecord.Absent, FoundRecord.Other -> Unit
+                FoundRecord.Other -> raise(attempt.keyReused(key, Step.RESOLVE))
+                FoundRecord.Absent -> Unit
             }
             val abandon = IdempotencyRecord.abandon(attempt.request.team, key, clock.instant())
             attempt.run(listOf(abandon)).fold(
@@ -156,10 +161,10 @@
 
     private fun GatewayFailure.isMissingTable(): Boolean = sqlState() in IdempotencyRecord.missingTableStates
 
-    private fun Attempt.keyReused(key: IdempotencyKey) = Failure(
+    private fun Attempt.keyReused(key: IdempotencyKey, step: Step = Step.EXECUTE) = Failure(
         reason = FailureReason.KEY_REUSED,
         effect = Effect.NOT_RUN,
-        step = Step.EXECUTE,
+        step = step,
         peer = Peer.Member(host.name),
         detail = "key \"${key.value}\" has been used for other work",
     )
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/work/WorkService.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/work/WorkService.kt
@@ -42,7 +42,7 @@
             is Work.Write -> writes.execute(host, request, work.statements, deadline)
             Work.Begin -> transactions.begin(host, request, deadline)
             is Work.Run -> transactions.run(work.transaction.number, request, work.statements, deadline)
-            is Work.Commit -> transactions.commit(work.transaction.number, request, deadline)
+            is Work.Commit -> transactions.commit(host, work.transaction.number, request, deadline)
             is Work.Rollback -> transactions.rollback(work.transaction.number, request, deadline)
             Work.Resolve -> writes.resolve(host, request, deadline)
         }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/work/WriteExecution.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/work/WriteExecution.kt
@@ -34,11 +34,20 @@
         RelayAnswer(work.results, work.point, MemberRole.PRIMARY, work.repeated)
     }
 
-    /** Answers the question for the outcome of the work that carried the key of [request]. */
-    fun resolve(host: MemberHost, request: RelayRequest, deadline: Duration): Either<Failure, RelayAnswer> = either {
+    /**
+     * Answers the question for the outcome of the work that carried the key of [request].
+     *
+     * @param statements the work, where it is known; a record of other work is then refused.
+     */
+    fun resolve(
+        host: MemberHost,
+        request: RelayRequest,
+        deadline: Duration,
+        statements: List<Statement>? = null,
+    ): Either<Failure, RelayAnswer> = either {
         val key = request.key ?: raise(request.missingKey())
         val attempt = Attempt(host, request, primaryTerm(host).bind(), deadline)
-        val resolved = keyed.resolve(attempt, key).bind()
+        val resolved = keyed.resolve(attempt, key, statements).bind()
         confirm(host, resolved.point, deadline).bind()
         when (resolved) {
             is ResolvedWork.NotRun -> raise(request.abandoned())
--- a/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/LocalFleetSpec.kt
+++ b/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/LocalFleetSpec.kt
@@ -164,5 +164,43 @@
             val read = fleet.run(other, Work.Read(listOf(select("t"))), begun.token).reply()
             expectThat(read.value()).isEqualTo(null)
         }
+
+        @Test
+        fun `whose commit answer was lost is not told as not run when its commit comes again`() {
+            val begun = fleet.run(fleet.nodes[0], Work.Begin).reply()
+            val handle = begun.transaction!!
+            fleet.run(fleet.nodes[1], Work.Run(handle, listOf(insert("t", 7))), begun.token).reply()
+            val primary = fleet.nodes[0].primary(LocalFleet.DATABASE)!!.primary
+            fleet.group.set(primary, MemberFault.LoseCommitAnswers(1))
+            val lost = fleet.run(fleet.nodes[1], Work.Commit(handle), begun.token, deadline = 1.seconds).leftOrNull()!!
+            val again = fleet.run(fleet.nodes[1], Work.Commit(handle), lost.token).leftOrNull()!!
+            expectThat(lost.failure.effect).isEqualTo(Effect.UNKNOWN)
+            expectThat(again.failure.effect).isEqualTo(Effect.UNKNOWN)
+        }
+
+        @Test
+        fun `whose keyed commit answer was lost gives its first answer when its commit comes again`() {
+            val begun = fleet.run(fleet.nodes[0], Work.Begin, kind = charge).reply()
+            val handle = begun.transaction!!
+            fleet.run(fleet.nodes[1], Work.Run(handle, listOf(insert("t", 7))), begun.token, charge).reply()
+            val primary = fleet.nodes[0].primary(LocalFleet.DATABASE)!!.primary
+            fleet.group.set(primary, MemberFault.LoseCommitAnswers(1))
+            val commit = Work.Commit(handle)
+            fleet.run(fleet.nodes[1], commit, begun.token, charge, "k-6", deadline = 1.seconds).leftOrNull()!!
+            val again = fleet.run(fleet.nodes[2], commit, begun.token, charge, "k-6").reply()
+            expectThat(again.repeated).isTrue()
+        }
+
+        @Test
+        fun `that commits with a key that has committed before changes nothing and gets the first answer`() {
+            val handles = List(2) { fleet.run(fleet.nodes[it], Work.Begin, kind = charge).reply().transaction!! }
+            fleet.run(fleet.nodes[0], Work.Run(handles[0], listOf(insert("t", 7))), kind = charge).reply()
+            val first = fleet.run(fleet.nodes[0], Work.Commit(handles[0]), kind = charge, key = "k-7").reply()
+            fleet.run(fleet.nodes[1], Work.Run(handles[1], listOf(insert("u", 8))), kind = charge).reply()
+            val second = fleet.run(fleet.nodes[1], Work.Commit(handles[1]), kind = charge, key = "k-7").reply()
+            val read = fleet.run(fleet.nodes[2], Work.Read(listOf(select("u"))), second.token).reply()
+            expectThat(listOf(first.repeated, second.repeated)).isEqualTo(listOf(false, true))
+            expectThat(read.value()).isEqualTo(null)
+        }
     }
 }
