Pass on news within a second at 620 nodes, and measure what it costs

Cause: (1) the probe order was shuffled by a comparison that changed between calls; from 155 nodes on it ended with "Comparison method violates its general contract". (2) Every VM read from the platform's list became news, 620 items that crowded out the failure of a VM. (3) Pushes and replies used up the retransmissions of an item, mostly on nodes that knew it. (4) Each relay sorted all VMs by their hash. Change: a fixed random place for each name; live VMs of the list are no news; only regular probes count as passing an item on, the newest first; gateway and deputies are worked out once for each member and view. Ruled out: lost exchanges; the fleet of the specification loses none.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/entry/Relay.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/entry/Relay.kt
@@ -46,7 +46,7 @@
     /** Sends [request] to the gateway of [member] or to a deputy and returns what came of it. */
     fun send(member: MemberConfiguration, request: RelayRequest, deadline: Duration): Either<Failure, Relayed> {
         var last = noVm(request)
-        order(member).take(CANDIDATES).forEach { vm ->
+        order(member).forEach { vm ->
             if (deadline <= clock.elapsed()) return deadlinePassed(request).after(last).left()
             val result = sendTo(vm, request, deadline)
             val failure = result.leftOrNull() ?: return result
@@ -107,7 +107,6 @@
     )
 
     private companion object {
-        const val CANDIDATES = 3
         val RETRY_AFTER = 500.milliseconds
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/membership/MembershipRunner.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/membership/MembershipRunner.kt
@@ -77,20 +77,20 @@
         apply { it.aged(clock.elapsed()) }
         val target = nextTarget() ?: return
         val full = lock.withLock { period++ % FULL_EXCHANGE_PERIODS == 0L }
-        if (!exchange(target, full)) probeIndirectly(target)
+        if (!exchange(target, message(full, regular = true))) probeIndirectly(target)
     }
 
     /** Exchanges everything with the node at [address], whose name need not be known; for a node that starts. */
     fun join(address: String, name: VmName): Boolean {
         val stranger = VmRecord(name, view.self.dataCentre, address, Membership.FIRST_INCARNATION, VmCondition.LIVE)
-        return exchange(stranger, full = true)
+        return exchange(stranger, message(full = true))
     }
 
-    /** Takes in the platform's list of VMs. */
-    fun listed(
-        list: List<ListedVm>,
-        memberNames: Set<MemberName>,
-    ) = apply { it.listed(list, memberNames, clock.elapsed()) }
+    /** Takes in the platform's list of VMs. Live ones are no news to others, who read the same list. */
+    fun listed(list: List<ListedVm>, memberNames: Set<MemberName>) = apply { membership ->
+        val change = membership.listed(list, memberNames, clock.elapsed())
+        change.copy(news = change.news.filter { it.condition != VmCondition.LIVE })
+    }
 
     /** Takes in that a call to [vm] was refused, before the next probe finds out. */
     fun reportSilent(vm: VmName) = apply { it.silent(vm, clock.elapsed()) }
@@ -104,11 +104,11 @@
     /** Answers a message of another node. */
     fun receive(message: GossipMessage): GossipMessage {
         take(message)
-        return message(full = message.full, forSender = message.sender)
+        return message(message.full, forSender = message.sender)
     }
 
-    private fun exchange(target: VmRecord, full: Boolean): Boolean =
-        peers.gossip(target, message(full, forSender = null), PROBE_TIMEOUT).fold(
+    private fun exchange(target: VmRecord, message: GossipMessage): Boolean =
+        peers.gossip(target, message, PROBE_TIMEOUT).fold(
             { false },
             {
                 take(it)
@@ -132,11 +132,24 @@
         }
     }
 
-    private fun message(full: Boolean, forSender: VmRecord?): GossipMessage = lock.withLock {
+    /** Only regular messages count as passing news on; others often go to nodes that know it already. */
+    private fun message(
+        full: Boolean = false,
+        regular: Boolean = false,
+        forSender: VmRecord? = null,
+    ): GossipMessage = lock.withLock {
         val nodes = membership.records.size
         val refutable = forSender?.let { membership.record(it.name) }?.takeIf { it.overrides(forSender) }
-        val vms = if (full) membership.records.values.toList() else vmNews.take(nodes)
-        val known = if (full) primaries.values.toList() else primaryNews.take(nodes)
+        val vms = when {
+            full -> membership.records.values.toList()
+            regular -> vmNews.take(nodes)
+            else -> vmNews.peek()
+        }
+        val known = when {
+            full -> primaries.values.toList()
+            regular -> primaryNews.take(nodes)
+            else -> primaryNews.peek()
+        }
         GossipMessage(membership.self, vms + listOfNotNull(refutable), known, configurationNumber(), full)
     }
 
@@ -168,7 +181,7 @@
     private fun pushNews() {
         try {
             randomPeers(PUSH_FANOUT, except = null).forEach { peer ->
-                executor.execute { exchange(peer, full = false) }
+                executor.execute { exchange(peer, message()) }
             }
         } catch (_: RejectedExecutionException) {
             // The node is stopping; others learn of the news by their probes.
@@ -181,11 +194,14 @@
         if (revisit.isNotEmpty() && period % REVISIT_PERIODS == 0L) return revisit[random.nextInt(revisit.size)]
         if (probeOrder.isEmpty()) {
             val candidates = others.filter { it.condition != VmCondition.FAILED }.map { it.name }
-            probeOrder = ArrayDeque(candidates.sortedBy { random.nextInt() })
+            probeOrder = ArrayDeque(shuffled(candidates))
         }
         probeOrder.removeFirstOrNull()?.let { membership.record(it) }
     }
 
+    private fun shuffled(names: List<VmName>): List<VmName> =
+        names.map { it to random.nextInt() }.sortedBy { (_, place) -> place }.map { (name, _) -> name }
+
     private fun randomPeers(count: Int, except: VmName?): List<VmRecord> = lock.withLock {
         val candidates = membership.usable.filter { it.name != membership.self.name && it.name != except }
         List(minOf(count, candidates.size)) { candidates[random.nextInt(candidates.size)] }.distinct()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/Ownership.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/Ownership.kt
@@ -8,14 +8,17 @@
 import dev.kumquatknot.core.membership.GatewaySelection
 import dev.kumquatknot.core.membership.Membership
 import dev.kumquatknot.core.membership.VmRecord
+import java.util.concurrent.ConcurrentHashMap
 
 /** Which VM is the gateway of which member, by one configuration and one view of the fleet. Immutable. */
 internal class Ownership(private val configuration: FleetConfiguration, private val membership: Membership) {
     private val selection = GatewaySelection(configuration::region)
+    private val candidates = ConcurrentHashMap<MemberName, List<VmRecord>>()
 
-    /** Returns the VMs that may serve [member], the gateway first. */
-    fun order(member: MemberConfiguration): List<VmRecord> =
-        selection.order(member.name.value, member.dataCentre, membership.usable)
+    /** Returns the gateway of [member] and its deputies, at most [CANDIDATES]; worked out once for each member. */
+    fun order(member: MemberConfiguration): List<VmRecord> = candidates.getOrPut(member.name) {
+        selection.order(member.name.value, member.dataCentre, membership.usable).take(CANDIDATES)
+    }
 
     /** Returns the gateway of [member], or null where no VM takes new work. */
     fun gateway(member: MemberConfiguration): VmRecord? =
@@ -38,6 +41,8 @@
     }
 
     companion object {
+        private const val CANDIDATES = 3
+
         /** Ownership before any configuration is known. */
         fun none(self: VmRecord): Ownership = Ownership(FleetConfiguration.EMPTY, Membership(self))
     }
--- /dev/null
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/capacity/GossipCapacitySpec.kt
@@ -0,0 +1,248 @@
+package dev.kumquatknot.proxy.capacity
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.kumquatknot.core.databasegroup.Term
+import dev.kumquatknot.core.identity.DataCentre
+import dev.kumquatknot.core.identity.DatabaseName
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.identity.VmName
+import dev.kumquatknot.core.membership.VmCondition
+import dev.kumquatknot.core.membership.VmRecord
+import dev.kumquatknot.core.platform.ListedVm
+import dev.kumquatknot.core.platform.VmState
+import dev.kumquatknot.core.time.Clock
+import dev.kumquatknot.proxy.event.EventLog
+import dev.kumquatknot.proxy.membership.MembershipRunner
+import dev.kumquatknot.proxy.peer.GossipMessage
+import dev.kumquatknot.proxy.peer.PeerConfiguration
+import dev.kumquatknot.proxy.peer.PeerFailure
+import dev.kumquatknot.proxy.peer.PeerPort
+import dev.kumquatknot.proxy.peer.PrimaryRecord
+import dev.kumquatknot.proxy.peer.Vantage
+import dev.kumquatknot.proxy.peer.toMessage
+import dev.kumquatknot.proxy.relay.RelayReply
+import dev.kumquatknot.proxy.relay.RelayRequest
+import org.apache.commons.rng.simple.RandomSource
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+import java.time.Instant
+import java.util.concurrent.Executor
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Counts what the exchange of news costs a node, period by period on virtual time. The sizes of the fleet come from the
+ * system property `capacity.nodes`, a list separated by commas.
+ */
+class GossipCapacitySpec {
+    private val sizes = System.getProperty("capacity.nodes", "8,62").split(",").map { it.toInt() }
+
+    @Nested
+    inner class `a steady fleet` {
+        @Test
+        fun `costs each node bytes that stay within the budget of control at any size`() {
+            sizes.forEach { size ->
+                val fleet = GossipFleet(size)
+                fleet.run(periods = 10)
+                val cost = fleet.measure(periods = 120)
+                println("GossipCapacitySpec: steady, $size nodes: $cost")
+                expectThat(cost.bytesPerNodeSecond).isLessThan(CONTROL_BYTES_PER_SECOND)
+            }
+        }
+    }
+
+    @Nested
+    inner class `news of a new primary` {
+        @Test
+        fun `reaches every node within a second and without a further period`() {
+            sizes.forEach { size ->
+                val fleet = GossipFleet(size)
+                fleet.run(periods = 10)
+                val before = fleet.calls
+                val reachedAtOnce = fleet.announcePrimary()
+                val periods = fleet.periodsUntilAllKnow()
+                val share = reachedAtOnce * 100 / size
+                println(
+                    "GossipCapacitySpec: news, $size nodes: $share % at once with " +
+                        "${fleet.calls - before} calls in all, all after $periods periods",
+                )
+                expectThat(periods).describedAs("periods until all know").isLessThanOrEqualTo(3)
+            }
+        }
+    }
+
+    @Nested
+    inner class `a node that is gone` {
+        @Test
+        fun `is failed everywhere within eleven seconds and found by no one else`() {
+            sizes.forEach { size ->
+                val fleet = GossipFleet(size)
+                fleet.run(periods = 10)
+                fleet.down += VmName("vm-1")
+                val periods = fleet.periodsUntil {
+                    fleet.conditionEverywhere(VmName("vm-1")) ==
+                        setOf(VmCondition.FAILED)
+                }
+                println("GossipCapacitySpec: failure, $size nodes: known everywhere after $periods s")
+                expectThat(periods).isLessThanOrEqualTo(11)
+                expectThat(fleet.conditionsOfOthers()).isEqualTo(setOf(VmCondition.LIVE))
+            }
+        }
+    }
+
+    private companion object {
+        const val CONTROL_BYTES_PER_SECOND = 12_000L
+    }
+}
+
+/** What control cost one node on average. */
+internal data class GossipCost(
+    val callsPerNodeSecond: Double,
+    val bytesPerNodeSecond: Long,
+    val microsPerNodeSecond: Long,
+)
+
+/** Membership runners that call each other in this thread; calls of executors run after the current one. */
+internal class GossipFleet(private val size: Int) {
+    val down = HashSet<VmName>()
+    var calls = 0L
+        private set
+    private var bytes = 0L
+    private var now = 0.seconds
+    private val pending = ArrayDeque<Runnable>()
+    private val executor = Executor { pending.addLast(it) }
+    private val clock = object : Clock {
+        override fun elapsed(): Duration = now
+
+        override fun instant(): Instant = Instant.EPOCH
+    }
+    private val listed = List(size) {
+        ListedVm(
+            VmName("vm-$it"),
+            DataCentre("centre-${it % DATA_CENTRES}"),
+            "10.0.${it / 250}.${it % 250}:8082",
+            VmState.LIVE,
+        )
+    }
+    private val runners = listed.associate { it.name to newRunner(it) }
+    private val announced = PrimaryRecord(DatabaseName("inventory-1"), Term(2), MemberName("inventory-1-b"))
+
+    init {
+        runners.values.forEach { it.listed(listed, emptySet()) }
+        drain()
+    }
+
+    fun run(periods: Int) = repeat(periods) { runPeriod() }
+
+    fun measure(periods: Int): GossipCost {
+        val callsBefore = calls
+        val bytesBefore = bytes
+        val startedAt = System.nanoTime()
+        run(periods)
+        val micros = (System.nanoTime() - startedAt) / NANOS_PER_MICRO
+        val nodeSeconds = periods.toLong() * size
+        return GossipCost(
+            (calls - callsBefore).toDouble() / nodeSeconds,
+            (bytes - bytesBefore) / nodeSeconds,
+            micros / nodeSeconds,
+        )
+    }
+
+    fun announcePrimary(): Int {
+        runners.values.first().announce(announced)
+        drain()
+        return runners.values.count { it.primary(announced.database) == announced }
+    }
+
+    fun periodsUntilAllKnow(): Int = periodsUntil { runners.values.all { it.primary(announced.database) == announced } }
+
+    fun periodsUntil(done: () -> Boolean): Int {
+        var periods = 0
+        while (!done() && periods < MAXIMUM_PERIODS) {
+            runPeriod()
+            periods++
+        }
+        return periods
+    }
+
+    fun conditionEverywhere(vm: VmName): Set<VmCondition?> =
+        runners.filterKeys { it != vm && it !in down }.values.map { it.view.record(vm)?.condition }.toSet()
+
+    /** Conditions that the nodes which are up have of each other. */
+    fun conditionsOfOthers(): Set<VmCondition> = runners.filterKeys { it !in down }.values
+        .flatMap { it.view.records.values }
+        .filter { it.name !in down }
+        .map { it.condition }
+        .toSet()
+
+    private fun runPeriod() {
+        now += 1.seconds
+        runners.filterKeys { it !in down }.values.forEach {
+            it.runPeriod()
+            drain()
+        }
+    }
+
+    private fun drain() {
+        while (pending.isNotEmpty()) pending.removeFirst().run()
+    }
+
+    private fun newRunner(vm: ListedVm) = MembershipRunner(
+        self = VmRecord(vm.name, vm.dataCentre, vm.address, 0, VmCondition.LIVE),
+        peers = Peers(),
+        clock = clock,
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(vm.name.value.hashCode().toLong()),
+        executor = executor,
+        events = EventLog(),
+        configurationNumber = { 1 },
+    )
+
+    private inner class Peers : PeerPort {
+        override fun gossip(peer: VmRecord, message: GossipMessage, timeout: Duration) = call(peer) { runner ->
+            val reply = runner.receive(message)
+            bytes += message.toMessage().serializedSize + reply.toMessage().serializedSize + 2 * FRAME_BYTES
+            reply
+        }
+
+        override fun probeIndirectly(peer: VmRecord, target: VmRecord, timeout: Duration) =
+            call(peer) { target.name !in down }
+
+        override fun execute(peer: VmRecord, request: RelayRequest): Either<PeerFailure, RelayReply> = error("no work")
+
+        override fun configuration(
+            peer: VmRecord,
+            known: Long,
+            timeout: Duration,
+        ): Either<PeerFailure, PeerConfiguration> = error("no configuration")
+
+        override fun vantage(
+            peer: VmRecord,
+            database: DatabaseName,
+            member: MemberName,
+            timeout: Duration,
+        ): Either<PeerFailure, Vantage> = error("no vantage")
+
+        override fun forget(peer: VmName) = Unit
+
+        private fun <T> call(peer: VmRecord, action: (MembershipRunner) -> T): Either<PeerFailure, T> {
+            calls++
+            if (peer.name in down) return PeerFailure.NoAnswer(peer.name, "down").left()
+            return action(runners.getValue(peer.name)).right()
+        }
+    }
+
+    private companion object {
+        const val DATA_CENTRES = 4
+        const val MAXIMUM_PERIODS = 60
+        const val NANOS_PER_MICRO = 1_000
+
+        /** HTTP/2 and gRPC framing and compressed headers of one message in bytes. */
+        const val FRAME_BYTES = 60L
+    }
+}
