Bound the stand-in platform to 256 worker threads

Its pool starts a thread for each call until it is full, and 1,024 threads outweigh what the trial fleets' watches need. The number is a bound only; no measurement depends on it.

--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformServer.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformServer.kt
@@ -35,7 +35,7 @@
     }
 
     private companion object {
-        const val WORKERS = 1_024
+        const val WORKERS = 256
         const val BODY_MARGIN_BYTES = 1_024
     }
 }
