Replace a primary that no VM hears while its replicas do

Cause: another VM that last heard the primary some milliseconds after this one's first miss counted as a witness for ever, so that the primary was never replaced.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailureDetector.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailureDetector.kt
@@ -141,7 +141,8 @@
         val asked =
             vantage?.takeIf { it.primary == primary && now - it.askedAt <= timing.reportValidity } ?: return false
         val silence = silenceOf(primary, now)
-        val heard = asked.reports.any { it.heardAgo != null && it.heardAgo < silence }
+        val heardUntil = now - silence + timing.probeTimeout
+        val heard = asked.reports.any { it.heardAgo != null && asked.askedAt - it.heardAgo > heardUntil }
         val factor = if (asked.reports.isEmpty()) UNSUPPORTED_FACTOR else 1
         val needed = minOf(missesNeeded() * factor, timing.maximumMisses)
         return !heard && missesOf(primary) >= needed && silence >= timing.probeTimeout * needed
@@ -162,7 +163,7 @@
         return when {
             view.primary == null -> LossReason.NO_PRIMARY.takeIf { replicas.none { hearsPrimary(it) } }
             departed >= database.majority -> LossReason.NO_PRIMARY
-            isSilent(view.primary, now) -> silentReason(view.primary, replicas, now)
+            isSilent(view.primary, now) -> silentReason(replicas)
             primaryReport == null -> null
             primaryReport.acceptedTerm == view.term && !primaryReport.servesAsPrimary -> LossReason.NO_PRIMARY
             isCutOff(replicas, now) -> LossReason.CUT_OFF_FROM_REPLICAS
@@ -171,12 +172,8 @@
         }
     }
 
-    private fun silentReason(primary: MemberName, replicas: List<MemberReport>, now: Duration): LossReason? {
-        if (replicas.none { hearsPrimary(it) }) return LossReason.SILENT
-        val enough =
-            missesOf(primary) > timing.missesWithDeafReplicas && silenceOf(primary, now) >= timing.minimumSilence * 2
-        return LossReason.UNREACHABLE_FOR_VMS.takeIf { enough }
-    }
+    private fun silentReason(replicas: List<MemberReport>): LossReason =
+        if (replicas.any { hearsPrimary(it) }) LossReason.UNREACHABLE_FOR_VMS else LossReason.SILENT
 
     private fun isSilent(primary: MemberName, now: Duration): Boolean {
         val contact = contacts[primary] ?: return false
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/GroupFailoverSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/GroupFailoverSpec.kt
@@ -20,7 +20,15 @@
 
     enum class Deployment(val oneWay: Duration) { PESEBRE_UNIDO(8.milliseconds), NILE_EDGE(20.milliseconds) }
 
-    enum class Loss { ISOLATED, REFUSING, CUT_OFF_FROM_REPLICAS, ISOLATED_WITH_ITS_VM, PAUSED }
+    enum class Loss {
+        ISOLATED,
+        REFUSING,
+        CUT_OFF_FROM_REPLICAS,
+        CUT_OFF_FROM_VMS,
+        ONLY_SENDING_LOST,
+        ISOLATED_WITH_ITS_VM,
+        PAUSED,
+    }
 
     private fun healthy(scenario: Long, deployment: Deployment): GroupSimulation {
         val simulation = GroupSimulation(scenario, deployment.oneWay)
@@ -44,6 +52,8 @@
                     it.name.value
                 } - primary,
             )
+            Loss.CUT_OFF_FROM_VMS -> simulation.isolate(primary, simulation.nodes.map { it.name })
+            Loss.ONLY_SENDING_LOST -> (simulation.everyone() - primary).forEach { simulation.cut += primary to it }
             Loss.ISOLATED_WITH_ITS_VM -> {
                 simulation.isolate(primary)
                 vm.up = false
@@ -127,6 +137,18 @@
             simulation.loss = 0.05 + simulation.random.nextDouble() * 0.15
         }
 
+        @ParameterizedTest
+        @EnumSource(Deployment::class)
+        fun `promotes nobody while the links of two VMs to the primary flap`(deployment: Deployment) =
+            noPromotion(deployment) { simulation ->
+                val primary = simulation.primary()!!.name.value
+                (0 until 15).forEach { turn ->
+                    val from = simulation.now + 2.seconds * turn
+                    simulation.at(from) { simulation.isolate(primary, listOf("vm0", "vm1")) }
+                    simulation.at(from + 1_500.milliseconds) { simulation.heal() }
+                }
+            }
+
         @Test
         fun `promotes nobody after a pause of the VMs`() = noPromotion(Deployment.PESEBRE_UNIDO) { simulation ->
             simulation.nodes.forEach { simulation.frozenUntil[it.name] = simulation.now + 4.seconds }
