--- /dev/null
+++ b/kumquatknot-app/src/test/kotlin/dev/kumquatknot/app/CommandLineSpec.kt
@@ -0,0 +1,212 @@
+package dev.kumquatknot.app
+
+import dev.kumquatknot.core.configuration.FleetConfiguration
+import dev.kumquatknot.standin.platform.PlatformFault
+import dev.kumquatknot.standin.platform.PlatformStandin
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.startsWith
+import java.nio.file.Path
+import kotlin.io.path.ExperimentalPathApi
+import kotlin.io.path.copyToRecursively
+import kotlin.io.path.deleteExisting
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+
+class CommandLineSpec {
+    private val out = mutableListOf<String>()
+    private val errors = mutableListOf<String>()
+    private val platform = PlatformStandin(pause = {})
+    private val commandLine = CommandLine(Console(out::add, errors::add)) { platform }
+    private val example = "../examples/pesebre-unido"
+
+    private fun run(vararg arguments: String): ExitCode = commandLine.run(arguments.toList())
+
+    private fun stored(): String? = platform.read(FleetConfiguration.STORE_KEY).getOrNull()?.value
+
+    @Nested
+    inner class `help` {
+        @Test
+        fun `is what the program prints without a command`() {
+            expectThat(run()).isEqualTo(ExitCode.OK)
+            expectThat(out.single()).contains("Examples")
+        }
+
+        @Test
+        fun `of a command goes to standard output`() {
+            expectThat(run("apply", "--help")).isEqualTo(ExitCode.OK)
+            expectThat(out.single()).contains("--dry-run")
+            expectThat(errors).isEmpty()
+        }
+    }
+
+    @Nested
+    inner class `a wrong command line` {
+        @Test
+        fun `with an unknown command names it`() {
+            expectThat(run("aply")).isEqualTo(ExitCode.USAGE)
+            expectThat(errors.single()).contains("there is no command \"aply\"")
+        }
+
+        @Test
+        fun `with an unknown option goes to standard error`() {
+            expectThat(run("check", example, "--loud")).isEqualTo(ExitCode.USAGE)
+            expectThat(errors.single()).startsWith("kumquatknot: parse, local: ")
+            expectThat(out).isEmpty()
+        }
+
+        @Test
+        fun `without a required option changes nothing`() {
+            expectThat(run("apply", example)).isEqualTo(ExitCode.USAGE)
+            expectThat(stored()).isNull()
+        }
+
+        @Test
+        fun `without a subcommand says so`() {
+            expectThat(run("keys")).isEqualTo(ExitCode.USAGE)
+            expectThat(errors.single()).contains("needs a subcommand")
+        }
+    }
+
+    @Nested
+    inner class `check` {
+        @Test
+        fun `accepts the examples`() {
+            expectThat(run("check", example)).isEqualTo(ExitCode.OK)
+            expectThat(run("check", "../examples/nile-edge")).isEqualTo(ExitCode.OK)
+            expectThat(out.first()).contains("3 teams, 9 kinds of work, 3 databases")
+        }
+
+        @Test
+        fun `reports a folder that does not exist`() {
+            expectThat(run("check", "no-such-folder")).isEqualTo(ExitCode.BAD_DATA)
+            expectThat(errors.single()).contains("the folder does not exist")
+        }
+    }
+
+    @Nested
+    inner class `generate` {
+        @Test
+        fun `writes the same bytes each time`(
+            @TempDir folder: Path,
+        ) {
+            val files = listOf(folder.resolve("a.json"), folder.resolve("b.json"))
+            files.forEach { expectThat(run("generate", example, "--output", "$it")).isEqualTo(ExitCode.OK) }
+            expectThat(files[0].readText()).isEqualTo(files[1].readText())
+        }
+    }
+
+    @Nested
+    inner class `apply` {
+        @Test
+        fun `creates the session keys and the configuration`() {
+            expectThat(run("apply", example, "--platform", "p")).isEqualTo(ExitCode.OK)
+            expectThat(stored()).isNotNull().startsWith("{\"number\":1,")
+            expectThat(platform.read("keys/session").getOrNull()).isNotNull()
+        }
+
+        @Test
+        fun `changes nothing in a dry run`() {
+            expectThat(run("apply", example, "--platform", "p", "--dry-run")).isEqualTo(ExitCode.OK)
+            expectThat(out).contains("  add team counter")
+            expectThat(stored()).isNull()
+        }
+
+        @Test
+        fun `changes nothing when an answer is bad`(
+            @TempDir folder: Path,
+        ) {
+            run("apply", example, "--platform", "p")
+            val before = stored()
+            copyExample(folder)
+            folder.resolve("teams/counter.json").writeText("")
+            expectThat(run("apply", "$folder", "--platform", "p")).isEqualTo(ExitCode.BAD_DATA)
+            expectThat(errors.single()).contains("teams/counter.json: $: the file is empty")
+            expectThat(stored()).isEqualTo(before)
+        }
+
+        @Test
+        fun `asks for a confirmation before it removes a team`(
+            @TempDir folder: Path,
+        ) {
+            run("apply", example, "--platform", "p")
+            copyExample(folder)
+            folder.resolve("teams/warehouse.json").deleteExisting()
+            expectThat(run("apply", "$folder", "--platform", "p")).isEqualTo(ExitCode.FAILED)
+            expectThat(errors.single()).contains("remove team warehouse")
+            expectThat(run("apply", "$folder", "--platform", "p", "--confirm")).isEqualTo(ExitCode.OK)
+        }
+
+        @Test
+        fun `reports a platform that refuses`() {
+            platform.set(PlatformFault.Refuse)
+            expectThat(run("apply", example, "--platform", "p")).isEqualTo(ExitCode.UNAVAILABLE)
+            platform.set(PlatformFault.Heal)
+            expectThat(stored()).isNull()
+        }
+
+        @OptIn(ExperimentalPathApi::class)
+        private fun copyExample(folder: Path) {
+            Path.of(example).copyToRecursively(folder, followLinks = false, overwrite = true)
+        }
+    }
+
+    @Nested
+    inner class `keys rotate` {
+        @Test
+        fun `makes the next key`() {
+            run("apply", example, "--platform", "p")
+            expectThat(run("keys", "rotate", "--platform", "p")).isEqualTo(ExitCode.OK)
+            expectThat(out.last()).isEqualTo("key 2 signs session tokens from now on")
+        }
+    }
+
+    @Nested
+    inner class `status` {
+        @Test
+        fun `prints today's page`() {
+            run("apply", example, "--platform", "p")
+            expectThat(run("status", "--platform", "p")).isEqualTo(ExitCode.OK)
+            expectThat(out.last()).isEqualTo("configuration 1 is in force")
+        }
+
+        @Test
+        fun `reports a platform that does not answer`() {
+            platform.set(PlatformFault.Refuse)
+            expectThat(run("status", "--platform", "p")).isEqualTo(ExitCode.UNAVAILABLE)
+        }
+    }
+
+    @Nested
+    inner class `measure` {
+        @Test
+        fun `writes its figures`(
+            @TempDir folder: Path,
+        ) {
+            val result = run("measure", "--seconds", "1", "--scenario", "steady", "--output", "$folder")
+            expectThat(result).isEqualTo(ExitCode.OK)
+            expectThat(folder.resolve("measures.json").readText()).contains("\"seed\": 1")
+        }
+
+        @Test
+        fun `refuses a run without time`() {
+            expectThat(run("measure", "--seconds", "0")).isEqualTo(ExitCode.USAGE)
+        }
+    }
+
+    @Nested
+    inner class `standin` {
+        @Test
+        fun `reports settings that can't be read`() {
+            expectThat(run("standin", "database", "no-such-file.json")).isEqualTo(ExitCode.BAD_DATA)
+            expectThat(run("standin", "platform", "no-such-file.json")).isEqualTo(ExitCode.BAD_DATA)
+        }
+    }
+}
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseStandinSettings.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/database/DatabaseStandinSettings.kt
@@ -4,8 +4,8 @@
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.operations.document.Problem
-import dev.kumquatknot.standin.process.SettingsChecks
-import dev.kumquatknot.standin.process.isAddress
+import dev.kumquatknot.standin.settings.SettingsChecks
+import dev.kumquatknot.standin.settings.isAddress
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformStandinSettings.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformStandinSettings.kt
@@ -2,8 +2,8 @@
 
 import dev.kumquatknot.core.platform.ListedVm
 import dev.kumquatknot.operations.document.Problem
-import dev.kumquatknot.standin.process.SettingsChecks
-import dev.kumquatknot.standin.process.portRange
+import dev.kumquatknot.standin.settings.SettingsChecks
+import dev.kumquatknot.standin.settings.portRange
 import kotlinx.serialization.Serializable
 
 /**
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/process/SettingsChecks.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/settings/SettingsChecks.kt
@@ -1,4 +1,4 @@
-package dev.kumquatknot.standin.process
+package dev.kumquatknot.standin.settings
 
 import dev.kumquatknot.operations.document.Problem
 
