Add the demo and the command that runs a node

The demo runs platform, both example deployments and six nodes in one process, stops and restarts a primary, repeats every payment, reads back all acknowledged work and prints today's page.

--- a/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/CommandLine.kt
+++ b/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/CommandLine.kt
@@ -3,9 +3,11 @@
 import dev.kumquatknot.app.command.ApplyCommand
 import dev.kumquatknot.app.command.CheckCommand
 import dev.kumquatknot.app.command.Command
+import dev.kumquatknot.app.command.DemoCommand
 import dev.kumquatknot.app.command.GenerateCommand
 import dev.kumquatknot.app.command.KeysCommand
 import dev.kumquatknot.app.command.MeasureCommand
+import dev.kumquatknot.app.command.ProxyCommand
 import dev.kumquatknot.app.command.StandinCommand
 import dev.kumquatknot.app.command.StatusCommand
 import dev.kumquatknot.app.command.VersionCommand
@@ -81,8 +83,10 @@
             ApplyCommand(console, connect),
             KeysCommand(console, connect),
             StatusCommand(console, connect),
+            ProxyCommand(console),
             StandinCommand(console),
             MeasureCommand(console),
+            DemoCommand(console),
             VersionCommand(console),
         )
 
--- /dev/null
+++ b/kumquatknot-app/src/test/kotlin/dev/kumquatknot/app/DemoAnswersSpec.kt
@@ -0,0 +1,19 @@
+package dev.kumquatknot.app
+
+import dev.kumquatknot.app.demo.DemoAnswers
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+
+class DemoAnswersSpec {
+    @Nested
+    inner class `the answers in the program` {
+        @Test
+        fun `are complete and in order`() {
+            DemoAnswers.examples.keys.forEach { example ->
+                expectThat(DemoAnswers.read(example).teams).hasSize(3)
+            }
+        }
+    }
+}
--- a/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/today/DayReport.kt
+++ b/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/today/DayReport.kt
@@ -39,8 +39,17 @@
     val platformAnswered: Boolean = true,
 )
 
-/** One promise to the owner, in a plain [sentence]. */
-public data class PromiseReport(val title: String, val verdict: Verdict, val sentence: String)
+/**
+ * One promise to the owner, in a plain [sentence].
+ *
+ * @property always whether a breach counts at any load and through any fault, unlike a missed goal.
+ */
+public data class PromiseReport(
+    val title: String,
+    val verdict: Verdict,
+    val sentence: String,
+    val always: Boolean = true,
+)
 
 /**
  * Something that went wrong.
