Hand over the primary of a leaving backend server

Cause: replicas on the platform's leaving list got no new work, but a primary kept its writes until its server ended. Change: a primary whose server is leaving is replaced by the ordinary promotion, with the members that stay as its only candidates; both must accept the term, so that one of them holds every acknowledged write. It waits until both follow. The HTTP server's pools end only once the last events of closed connections have passed between them. Before, the primary never moved. Ruled out: excluding the leaving primary after it has accepted the term; a majority that contains it may lack a replica that holds an acknowledged write. Conclusion: leaving servers are vacated by the same rules as lost ones.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailureDetector.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailureDetector.kt
@@ -30,6 +30,9 @@
 
     /** One member has accepted a later term than the primary's and follows nobody. */
     TERM_CONFLICT,
+
+    /** The primary serves, and its backend server is leaving. */
+    LEAVING,
 }
 
 /** State of a group's primary as this VM sees it. */
@@ -92,13 +95,13 @@
         return contact.report.takeIf { now - answeredAt <= timing.reportValidity }
     }
 
-    /** Returns the state of the primary of [view] at [now]. */
-    public fun verdict(view: GroupView, now: Duration): PrimaryVerdict {
+    /** Returns the state of the primary of [view] at [now]; backend servers in [leaving] are to be vacated. */
+    public fun verdict(view: GroupView, now: Duration, leaving: Set<MemberName> = emptySet()): PrimaryVerdict {
         noticeTerm(view.term, now)
         val present = presentReports(now)
         val reason = reasonNow(view, present, now)
         doubts = if (reason == null) emptyMap() else mapOf(reason to (doubts[reason] ?: now))
-        if (reason == null) return quietVerdict(view)
+        if (reason == null) return quietVerdict(view, present, leaving)
         return lost(reason, view, present, now) ?: PrimaryVerdict.Suspected(reason == LossReason.UNREACHABLE_FOR_VMS)
     }
 
@@ -110,9 +113,17 @@
         vantage = null
     }
 
-    private fun quietVerdict(view: GroupView): PrimaryVerdict {
+    private fun quietVerdict(
+        view: GroupView,
+        present: Map<MemberName, MemberReport>,
+        leaving: Set<MemberName>,
+    ): PrimaryVerdict {
         val misses = view.primary?.let { missesOf(it) } ?: 0
-        return if (misses > 0) PrimaryVerdict.Suspected(askVantage = false) else PrimaryVerdict.Healthy
+        if (misses > 0) return PrimaryVerdict.Suspected(askVantage = false)
+        val successors = database.members.map { it.name }.toSet() - leaving - setOfNotNull(view.primary)
+        val ready = present.values.count { it.member in successors && hearsPrimary(it) }
+        val moves = view.primary in leaving && ready >= database.majority
+        return if (moves) PrimaryVerdict.Lost(LossReason.LEAVING, successors) else PrimaryVerdict.Healthy
     }
 
     private fun lost(
@@ -134,6 +145,7 @@
         LossReason.CUT_OFF_FROM_REPLICAS -> timing.replicaSilence
         LossReason.NO_PRIMARY -> timing.leaderlessGrace
         LossReason.TERM_CONFLICT -> timing.conflictGrace
+        LossReason.LEAVING -> Duration.ZERO
     }
 
     private fun isUnheardElsewhere(view: GroupView, now: Duration): Boolean {
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/GroupCoordinator.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/GroupCoordinator.kt
@@ -28,6 +28,7 @@
  * @param preference order in which members with equal logs are promoted.
  * @param writesWait whether writes wait for their confirmation, for which replicas are asked more often.
  * @param readsWait whether reads wait for a majority to be seen, for which all members are asked more often.
+ * @param leaving members whose backend servers are leaving; a primary among them hands over to another member.
  */
 public class GroupCoordinator(
     private val database: DatabaseConfiguration,
@@ -41,6 +42,7 @@
     private val choose: ChooseMember = ::mostComplete,
     private val writesWait: () -> Boolean = confirmations::hasWaiting,
     private val readsWait: () -> Boolean = freshness::hasWaiting,
+    private val leaving: () -> Set<MemberName> = ::emptySet,
 ) {
     private val detector = FailureDetector(database, timing)
     private val members = database.members.map { it.name }
@@ -152,7 +154,7 @@
     }
 
     private fun decide(now: Duration): List<GroupEffect> {
-        verdict = detector.verdict(view, now)
+        verdict = detector.verdict(view, now, leaving())
         val lost = verdict as? PrimaryVerdict.Lost
         lostSince = if (lost == null) null else lostSince ?: now
         val running = promotion
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/group/GroupRunner.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/group/GroupRunner.kt
@@ -67,6 +67,7 @@
     val askVantage: AskVantage = { _, _ -> emptyList() },
     val rank: CoordinatorRank = { 0 },
     val publish: PublishPromotion = { _, _ -> },
+    val leaving: () -> Set<MemberName> = ::emptySet,
 )
 
 /**
@@ -105,6 +106,7 @@
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed),
         confirmations = confirmations,
         freshness = freshness,
+        leaving = ports.leaving,
     )
     private var running = false
     private var timer: Future<*>? = null
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/WorkerPoolServer.kt
@@ -120,7 +120,7 @@
         awaitConnections(settings.lingerTime + settings.stopTime)
         connections.close().awaitUninterruptibly()
         listOf(acceptors, eventLoops, workers).forEach {
-            it.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
+            it.shutdownGracefully(QUIET_MILLIS, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
             it.terminationFuture().awaitUninterruptibly(SHUTDOWN_MILLIS)
         }
         stopped.countDown()
@@ -161,6 +161,9 @@
         const val BACKLOG = 1024
         const val MAXIMUM_LINE_BYTES = 8_192
         const val CHUNK_BYTES = 65_536
+
+        /** Time without a task after which a pool ends; the last events of closed connections pass between pools. */
+        const val QUIET_MILLIS = 100L
         const val SHUTDOWN_MILLIS = 2_000L
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
@@ -240,6 +240,7 @@
                 members = ports,
                 askVantage = ::askVantage,
                 rank = { ownership.coordinatorRank(database, identity.vm) },
+                leaving = { membership.view.leavingMembers },
                 publish = { view, reason ->
                     parts.onPromotion(view.database, view.term)
                     parts.events.log(
--- a/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/LocalFleet.kt
+++ b/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/LocalFleet.kt
@@ -99,6 +99,21 @@
         ),
     )
 
+    /** Has the platform's list name the backend server of [member] as leaving. */
+    fun markLeaving(member: MemberName) {
+        store.list(listed + ListedVm(VmName(member.value), DataCentre(centres.first()), "127.0.0.1:1", VmState.LEAVING))
+    }
+
+    /** Waits until every node knows another primary than [member]. */
+    fun awaitPrimaryOtherThan(member: MemberName, limit: Duration): Boolean {
+        val until = SystemClock.elapsed() + limit
+        while (SystemClock.elapsed() < until) {
+            if (nodes.all { node -> node.primary(DATABASE)?.let { it.primary != member } == true }) return true
+            Thread.sleep(POLL_MILLIS)
+        }
+        return false
+    }
+
     /** Ends [node] as a killed process would. */
     fun kill(node: Int) {
         network.remove(listed[node].name)
@@ -128,6 +143,7 @@
         val DATABASE = DatabaseName("inventory")
         val TEAM = TeamName("counter")
         val centres = listOf("mendoza-a", "rosario-a", "corrientes-a")
+        const val POLL_MILLIS = 10L
         const val NODE_SEED_FACTOR = 100
         val browse = kind("browse", Access.READ, Purpose.BROWSING, Repetition.IDEMPOTENT)
         val book = kind("book", Access.WRITE, Purpose.BOOKING, Repetition.IDEMPOTENT)
--- a/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/LocalFleetSpec.kt
+++ b/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/fleet/LocalFleetSpec.kt
@@ -59,6 +59,21 @@
         }
     }
 
+    @Nested
+    inner class `a leaving backend server` {
+        @Test
+        fun `hands its primary over within the target and gets no new work`() {
+            val written = fleet.run(fleet.nodes[0], Work.Write(listOf(insert("robe", 1)))).reply()
+            val leaving = fleet.nodes[0].primary(LocalFleet.DATABASE)!!.primary
+            fleet.markLeaving(leaving)
+            expectThat(fleet.awaitPrimaryOtherThan(leaving, 3.seconds)).isTrue()
+            val again = fleet.run(fleet.nodes[1], Work.Write(listOf(add("robe", 4))), written.token).reply()
+            val reads = fleet.nodes.map { fleet.run(it, Work.Read(listOf(select("robe"))), again.token).reply() }
+            expectThat(reads.map { it.value() }).isEqualTo(listOf(5L, 5L, 5L))
+            expectThat((reads + again).none { it.servedBy == leaving }).isTrue()
+        }
+    }
+
     @Nested
     inner class `keyed work` {
         @Test
