--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
@@ -38,6 +38,9 @@
         .connectTimeout(timeout.toJavaDuration())
         .build()
 
+    @Volatile
+    private var lastList: TaggedList? = null
+
     override fun read(key: String): Either<StoreFailure, StoredObject?> =
         send(request(objectUri(key)).GET()).flatMap { response ->
             when (response.statusCode()) {
@@ -83,7 +86,23 @@
     }
 
     override fun vms(): Either<StoreFailure, List<ListedVm>> =
-        send(request(uri("/vms")).GET()).flatMap { it.toList<ListedVm>() }
+        send(vmsRequest()).flatMap { response ->
+            val known = lastList
+            if (response.statusCode() == NOT_MODIFIED && known != null) {
+                known.vms.right()
+            } else {
+                response.toList<ListedVm>().onRight { remember(response, it) }
+            }
+        }
+
+    private fun vmsRequest(): HttpRequest.Builder {
+        val request = request(uri("/vms")).GET()
+        return lastList?.let { request.header("If-None-Match", it.tag) } ?: request
+    }
+
+    private fun remember(response: HttpResponse<String>, vms: List<ListedVm>) {
+        lastList = response.headers().firstValue("ETag").map { TaggedList(it, vms) }.orElse(null)
+    }
 
     private fun send(request: HttpRequest.Builder): Either<StoreFailure, HttpResponse<String>> = try {
         client.send(request.build(), HttpResponse.BodyHandlers.ofString()).right()
@@ -127,6 +146,9 @@
         else -> StoreFailure.NoAnswer("status ${statusCode()}")
     }
 
+    /** The list of VMs as it was read last; [tag] tells the platform which one that was. */
+    private class TaggedList(val tag: String, val vms: List<ListedVm>)
+
     private companion object {
         const val OK = 200
         const val NOT_MODIFIED = 304
--- a/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformRoutes.kt
+++ b/kumquatknot-standin/src/main/kotlin/dev/kumquatknot/standin/platform/PlatformRoutes.kt
@@ -26,12 +26,21 @@
     val handler: HttpHandler = routes(
         "/objects" bind Method.GET to ::readAll,
         "/objects/{key:.+}" bind routes(Method.GET to ::read, Method.PUT to ::write),
-        "/vms" bind Method.GET to { platform.listVms().fold(::fail) { json(it) } },
+        "/vms" bind Method.GET to ::listVms,
         "/vms/{name}" bind routes(Method.PUT to ::putVm, Method.DELETE to ::removeVm),
         "/calls" bind Method.GET to { json(platform.calls()) },
         "/faults" bind Method.POST to ::setFault,
     )
 
+    private fun listVms(request: Request): Response = platform.listVms().fold(::fail) { list ->
+        val tag = "\"${list.hashCode()}\""
+        if (request.header("If-None-Match") == tag) {
+            Response(Status.NOT_MODIFIED).header("ETag", tag)
+        } else {
+            json(list).header("ETag", tag)
+        }
+    }
+
     private fun read(request: Request): Response {
         if (request.query("watch") != null) return watch(request)
         return platform.readObject(request.key()).fold(::fail) { it?.toResponse() ?: Response(Status.NOT_FOUND) }
--- a/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/platform/PlatformServerSpec.kt
+++ b/kumquatknot-standin/src/test/kotlin/dev/kumquatknot/standin/platform/PlatformServerSpec.kt
@@ -28,7 +28,7 @@
 
 class PlatformServerSpec {
     private val listed = ListedVm(VmName("vm-1"), DataCentre("mendoza-a"), "127.0.0.1:1", VmState.LIVE)
-    private val settings = PlatformStandinSettings(silenceMillis = 0, vms = listOf(listed))
+    private val settings = PlatformStandinSettings(silenceMillis = 0, vmListLagMillis = 0, vms = listOf(listed))
     private val platform = PlatformStandin(settings, ManualClock()) {}
     private val server = PlatformServer(platform).apply { start() }
     private val base = "http://${server.address()}"
@@ -72,8 +72,20 @@
         }
 
         @Test
-        fun `reads the list of VMs`() {
+        fun `reads the list of VMs, again where it has not changed, and anew where it has`() {
             expectThat(store.vms().getOrNull()).isNotNull().containsExactly(listed)
+            expectThat(store.vms().getOrNull()).isNotNull().containsExactly(listed)
+            val other = """{"name":"vm-2","dataCentre":"rosario-a","address":"127.0.0.1:2","state":"LEAVING"}"""
+            expectThat(send("PUT", "/vms/vm-2", other).statusCode()).isEqualTo(204)
+            expectThat(store.vms().getOrNull()?.map { it.name.value }).isEqualTo(listOf("vm-1", "vm-2"))
+        }
+
+        @Test
+        fun `answers an unchanged list of VMs without its entries`() {
+            val tag = send("GET", "/vms").headers().firstValue("ETag").get()
+            val again = send("GET", "/vms", "", "If-None-Match", tag)
+            expectThat(again.statusCode()).isEqualTo(304)
+            expectThat(again.body()).isEqualTo("")
         }
     }
 
