Keep member connections beyond the relayed call that opened them, and end calls to failed nodes

Cause: real processes showed two faults. (1) A connection to a member that was opened while a relayed call was served inherited that call's context and was cancelled with its end; the next request on it was lost. (2) A call to a paused node waited for its whole deadline, although the node had been found failed long before. Change: relayed work runs in the root context; a failed node's channel is shut down, so that calls to it end and work that may be sent again goes to the next VM. Ruled out: the pool's share after leaving; it closes idle connections only. Conclusion: in-process fleets could not show either fault, since their calls have no context and no silent peers.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
@@ -223,6 +223,9 @@
         val configuration = holder.current
         val next = Ownership(configuration, membership.view)
         ownership = next
+        membership.view.records.values
+            .filter { it.condition == VmCondition.FAILED }
+            .forEach { parts.peers.forget(it.name) }
         hosts.apply(configuration, next.membersOf(identity.vm))
         parts.metrics.configurationInForce(configuration.number)
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/GrpcNodeServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/GrpcNodeServer.kt
@@ -13,6 +13,7 @@
 import dev.kumquatknot.protocol.node.VantageRequest
 import dev.kumquatknot.protocol.node.WorkReply
 import dev.kumquatknot.protocol.node.WorkRequest
+import io.grpc.Context
 import io.grpc.Metadata
 import io.grpc.Server
 import io.grpc.ServerCall
@@ -66,7 +67,7 @@
 
     private class NodeService(private val self: VmName, private val service: PeerService) : NodeGrpc.NodeImplBase() {
         override fun execute(request: WorkRequest, observer: StreamObserver<WorkReply>) =
-            observer.answer(service.execute(request.toRelayRequest(self)).toMessage())
+            observer.answer(outsideCall { service.execute(request.toRelayRequest(self)).toMessage() })
 
         override fun gossip(request: GossipMessageMessage, observer: StreamObserver<GossipMessageMessage>) =
             observer.answer(service.gossip(request.toGossipMessage()).toMessage())
@@ -91,6 +92,19 @@
             observer.answer(vantage.toMessage())
         }
 
+        /**
+         * Runs [action] outside the context of the call. A connection to a member that is opened inside would be
+         * cancelled with the end of the call, although others use it afterwards.
+         */
+        private fun <T> outsideCall(action: () -> T): T {
+            val previous = Context.ROOT.attach()
+            try {
+                return action()
+            } finally {
+                Context.ROOT.detach(previous)
+            }
+        }
+
         private fun <T> StreamObserver<T>.answer(message: T) {
             onNext(message)
             onCompleted()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/GrpcPeers.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/GrpcPeers.kt
@@ -75,7 +75,7 @@
     }
 
     override fun forget(peer: VmName) {
-        channels.remove(peer)?.channel?.shutdown()
+        channels.remove(peer)?.channel?.shutdownNow()
     }
 
     override fun close() {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/PeerPort.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/peer/PeerPort.kt
@@ -85,7 +85,7 @@
         timeout: Duration,
     ): Either<PeerFailure, Vantage>
 
-    /** Releases the connections to [peer], which is gone. */
+    /** Releases the connections to [peer], which is gone. Calls that wait for it end without an answer. */
     public fun forget(peer: VmName)
 }
 
