Use one port to each member for all that a node asks of it

Cause: each question of another VM about a member built a new port, whose control connection was never released. Change: a node keeps one port for each configured member and uses it for its gateways and for such questions. Conclusion: found by reading; no behaviour that callers see changes.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
@@ -6,6 +6,7 @@
 import dev.kumquatknot.core.configuration.ConfigurationHolder
 import dev.kumquatknot.core.configuration.DatabaseConfiguration
 import dev.kumquatknot.core.configuration.FleetConfiguration
+import dev.kumquatknot.core.configuration.MemberConfiguration
 import dev.kumquatknot.core.databasegroup.GroupTiming
 import dev.kumquatknot.core.databasegroup.GroupView
 import dev.kumquatknot.core.databasegroup.Term
@@ -56,6 +57,7 @@
 import dev.kumquatknot.proxy.work.WorkService
 import dev.kumquatknot.proxy.work.WriteExecution
 import org.apache.commons.rng.simple.RandomSource
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -66,6 +68,7 @@
  */
 public class ProxyNode(private val identity: NodeIdentity, private val parts: NodeParts) {
     private val clock = parts.clock
+    private val memberPorts = ConcurrentHashMap<MemberConfiguration, MemberPort>()
     private val threads = NodeThreads(identity.vm.value, parts.workers)
     private val holder = ConfigurationHolder()
     private val groups = GroupTable(clock)
@@ -80,7 +83,7 @@
         events = parts.events,
         configurationNumber = { holder.current.number },
     )
-    private val hosts = MemberHosts(parts.memberPorts, ::newRunner, clock, parts.events)
+    private val hosts = MemberHosts(::memberPort, ::newRunner, clock, parts.events)
     private val transactions = TransactionTable(
         clock = clock,
         firstNumber = RandomSource.XO_RO_SHI_RO_128_PP.create(parts.seed).nextLong(1, Long.MAX_VALUE / 2),
@@ -289,6 +292,10 @@
         }
     }
 
+    /** Returns the one port of this node to [member], whose control connection all its uses share. */
+    private fun memberPort(member: MemberConfiguration): MemberPort =
+        memberPorts.computeIfAbsent(member) { parts.memberPorts(it) }
+
     private fun memberNames(): Set<MemberName> =
         holder.current.databases.flatMap { database -> database.members.map { it.name } }.toSet()
 
@@ -327,7 +334,7 @@
             val heard = hosts.runner(database)?.vantage(member)?.heardAgo
             if (heard != null) return Vantage(heard, Term(0))
             val configured = holder.current.database(database)?.members?.firstOrNull { it.name == member }
-            val report = configured?.let { parts.memberPorts(it).report(VANTAGE_REPORT_TIMEOUT).getOrNull() }
+            val report = configured?.let { memberPort(it).report(VANTAGE_REPORT_TIMEOUT).getOrNull() }
             return Vantage(report?.let { Duration.ZERO }, report?.acceptedTerm ?: Term(0))
         }
 
