--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/BatchMessage.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/BatchMessage.java
@@ -114,41 +114,41 @@
 
   public static final int STATEMENTS_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
-  private java.util.List<dev.kumquatknot.protocol.standin.StatementMessage> statements_;
+  private java.util.List<dev.kumquatknot.protocol.sql.Statement> statements_;
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
   @java.lang.Override
-  public java.util.List<dev.kumquatknot.protocol.standin.StatementMessage> getStatementsList() {
+  public java.util.List<dev.kumquatknot.protocol.sql.Statement> getStatementsList() {
     return statements_;
   }
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends dev.kumquatknot.protocol.standin.StatementMessageOrBuilder> 
+  public java.util.List<? extends dev.kumquatknot.protocol.sql.StatementOrBuilder> 
       getStatementsOrBuilderList() {
     return statements_;
   }
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
   @java.lang.Override
   public int getStatementsCount() {
     return statements_.size();
   }
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
   @java.lang.Override
-  public dev.kumquatknot.protocol.standin.StatementMessage getStatements(int index) {
+  public dev.kumquatknot.protocol.sql.Statement getStatements(int index) {
     return statements_.get(index);
   }
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
   @java.lang.Override
-  public dev.kumquatknot.protocol.standin.StatementMessageOrBuilder getStatementsOrBuilder(
+  public dev.kumquatknot.protocol.sql.StatementOrBuilder getStatementsOrBuilder(
       int index) {
     return statements_.get(index);
   }
@@ -580,9 +580,9 @@
               break;
             } // case 24
             case 34: {
-              dev.kumquatknot.protocol.standin.StatementMessage m =
+              dev.kumquatknot.protocol.sql.Statement m =
                   input.readMessage(
-                      dev.kumquatknot.protocol.standin.StatementMessage.parser(),
+                      dev.kumquatknot.protocol.sql.Statement.parser(),
                       extensionRegistry);
               if (statementsBuilder_ == null) {
                 ensureStatementsIsMutable();
@@ -750,22 +750,22 @@
       return this;
     }
 
-    private java.util.List<dev.kumquatknot.protocol.standin.StatementMessage> statements_ =
+    private java.util.List<dev.kumquatknot.protocol.sql.Statement> statements_ =
       java.util.Collections.emptyList();
     private void ensureStatementsIsMutable() {
       if (!((bitField0_ & 0x00000008) != 0)) {
-        statements_ = new java.util.ArrayList<dev.kumquatknot.protocol.standin.StatementMessage>(statements_);
+        statements_ = new java.util.ArrayList<dev.kumquatknot.protocol.sql.Statement>(statements_);
         bitField0_ |= 0x00000008;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        dev.kumquatknot.protocol.standin.StatementMessage, dev.kumquatknot.protocol.standin.StatementMessage.Builder, dev.kumquatknot.protocol.standin.StatementMessageOrBuilder> statementsBuilder_;
+        dev.kumquatknot.protocol.sql.Statement, dev.kumquatknot.protocol.sql.Statement.Builder, dev.kumquatknot.protocol.sql.StatementOrBuilder> statementsBuilder_;
 
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
-    public java.util.List<dev.kumquatknot.protocol.standin.StatementMessage> getStatementsList() {
+    public java.util.List<dev.kumquatknot.protocol.sql.Statement> getStatementsList() {
       if (statementsBuilder_ == null) {
         return java.util.Collections.unmodifiableList(statements_);
       } else {
@@ -773,7 +773,7 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
     public int getStatementsCount() {
       if (statementsBuilder_ == null) {
@@ -783,9 +783,9 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
-    public dev.kumquatknot.protocol.standin.StatementMessage getStatements(int index) {
+    public dev.kumquatknot.protocol.sql.Statement getStatements(int index) {
       if (statementsBuilder_ == null) {
         return statements_.get(index);
       } else {
@@ -793,10 +793,10 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
     public Builder setStatements(
-        int index, dev.kumquatknot.protocol.standin.StatementMessage value) {
+        int index, dev.kumquatknot.protocol.sql.Statement value) {
       if (statementsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureStatementsIsMutable();
@@ -808,10 +808,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
     public Builder setStatements(
-        int index, dev.kumquatknot.protocol.standin.StatementMessage.Builder builderForValue) {
+        int index, dev.kumquatknot.protocol.sql.Statement.Builder builderForValue) {
       if (statementsBuilder_ == null) {
         ensureStatementsIsMutable();
         statements_.set(index, builderForValue.build());
@@ -822,9 +822,9 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
-    public Builder addStatements(dev.kumquatknot.protocol.standin.StatementMessage value) {
+    public Builder addStatements(dev.kumquatknot.protocol.sql.Statement value) {
       if (statementsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureStatementsIsMutable();
@@ -836,10 +836,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
     public Builder addStatements(
-        int index, dev.kumquatknot.protocol.standin.StatementMessage value) {
+        int index, dev.kumquatknot.protocol.sql.Statement value) {
       if (statementsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureStatementsIsMutable();
@@ -851,10 +851,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
     public Builder addStatements(
-        dev.kumquatknot.protocol.standin.StatementMessage.Builder builderForValue) {
+        dev.kumquatknot.protocol.sql.Statement.Builder builderForValue) {
       if (statementsBuilder_ == null) {
         ensureStatementsIsMutable();
         statements_.add(builderForValue.build());
@@ -865,10 +865,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
     public Builder addStatements(
-        int index, dev.kumquatknot.protocol.standin.StatementMessage.Builder builderForValue) {
+        int index, dev.kumquatknot.protocol.sql.Statement.Builder builderForValue) {
       if (statementsBuilder_ == null) {
         ensureStatementsIsMutable();
         statements_.add(index, builderForValue.build());
@@ -879,10 +879,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
     public Builder addAllStatements(
-        java.lang.Iterable<? extends dev.kumquatknot.protocol.standin.StatementMessage> values) {
+        java.lang.Iterable<? extends dev.kumquatknot.protocol.sql.Statement> values) {
       if (statementsBuilder_ == null) {
         ensureStatementsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
@@ -894,7 +894,7 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
     public Builder clearStatements() {
       if (statementsBuilder_ == null) {
@@ -907,7 +907,7 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
     public Builder removeStatements(int index) {
       if (statementsBuilder_ == null) {
@@ -920,16 +920,16 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
-    public dev.kumquatknot.protocol.standin.StatementMessage.Builder getStatementsBuilder(
+    public dev.kumquatknot.protocol.sql.Statement.Builder getStatementsBuilder(
         int index) {
       return internalGetStatementsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
-    public dev.kumquatknot.protocol.standin.StatementMessageOrBuilder getStatementsOrBuilder(
+    public dev.kumquatknot.protocol.sql.StatementOrBuilder getStatementsOrBuilder(
         int index) {
       if (statementsBuilder_ == null) {
         return statements_.get(index);  } else {
@@ -937,9 +937,9 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
-    public java.util.List<? extends dev.kumquatknot.protocol.standin.StatementMessageOrBuilder> 
+    public java.util.List<? extends dev.kumquatknot.protocol.sql.StatementOrBuilder> 
          getStatementsOrBuilderList() {
       if (statementsBuilder_ != null) {
         return statementsBuilder_.getMessageOrBuilderList();
@@ -948,33 +948,33 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
-    public dev.kumquatknot.protocol.standin.StatementMessage.Builder addStatementsBuilder() {
+    public dev.kumquatknot.protocol.sql.Statement.Builder addStatementsBuilder() {
       return internalGetStatementsFieldBuilder().addBuilder(
-          dev.kumquatknot.protocol.standin.StatementMessage.getDefaultInstance());
+          dev.kumquatknot.protocol.sql.Statement.getDefaultInstance());
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
-    public dev.kumquatknot.protocol.standin.StatementMessage.Builder addStatementsBuilder(
+    public dev.kumquatknot.protocol.sql.Statement.Builder addStatementsBuilder(
         int index) {
       return internalGetStatementsFieldBuilder().addBuilder(
-          index, dev.kumquatknot.protocol.standin.StatementMessage.getDefaultInstance());
+          index, dev.kumquatknot.protocol.sql.Statement.getDefaultInstance());
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+     * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
      */
-    public java.util.List<dev.kumquatknot.protocol.standin.StatementMessage.Builder> 
+    public java.util.List<dev.kumquatknot.protocol.sql.Statement.Builder> 
          getStatementsBuilderList() {
       return internalGetStatementsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        dev.kumquatknot.protocol.standin.StatementMessage, dev.kumquatknot.protocol.standin.StatementMessage.Builder, dev.kumquatknot.protocol.standin.StatementMessageOrBuilder> 
+        dev.kumquatknot.protocol.sql.Statement, dev.kumquatknot.protocol.sql.Statement.Builder, dev.kumquatknot.protocol.sql.StatementOrBuilder> 
         internalGetStatementsFieldBuilder() {
       if (statementsBuilder_ == null) {
         statementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            dev.kumquatknot.protocol.standin.StatementMessage, dev.kumquatknot.protocol.standin.StatementMessage.Builder, dev.kumquatknot.protocol.standin.StatementMessageOrBuilder>(
+            dev.kumquatknot.protocol.sql.Statement, dev.kumquatknot.protocol.sql.Statement.Builder, dev.kumquatknot.protocol.sql.StatementOrBuilder>(
                 statements_,
                 ((bitField0_ & 0x00000008) != 0),
                 getParentForChildren(),
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/BatchMessageOrBuilder.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/BatchMessageOrBuilder.java
@@ -35,27 +35,27 @@
   boolean getReadOnly();
 
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
-  java.util.List<dev.kumquatknot.protocol.standin.StatementMessage> 
+  java.util.List<dev.kumquatknot.protocol.sql.Statement> 
       getStatementsList();
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
-  dev.kumquatknot.protocol.standin.StatementMessage getStatements(int index);
+  dev.kumquatknot.protocol.sql.Statement getStatements(int index);
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
   int getStatementsCount();
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
-  java.util.List<? extends dev.kumquatknot.protocol.standin.StatementMessageOrBuilder> 
+  java.util.List<? extends dev.kumquatknot.protocol.sql.StatementOrBuilder> 
       getStatementsOrBuilderList();
   /**
-   * <code>repeated .dev.kumquatknot.standin.StatementMessage statements = 4;</code>
+   * <code>repeated .dev.kumquatknot.sql.Statement statements = 4;</code>
    */
-  dev.kumquatknot.protocol.standin.StatementMessageOrBuilder getStatementsOrBuilder(
+  dev.kumquatknot.protocol.sql.StatementOrBuilder getStatementsOrBuilder(
       int index);
 
   /**
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/ReplyMessage.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/ReplyMessage.java
@@ -52,49 +52,49 @@
   private int bitField0_;
   public static final int RESULTS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
-  private java.util.List<dev.kumquatknot.protocol.standin.ResultMessage> results_;
+  private java.util.List<dev.kumquatknot.protocol.sql.StatementResult> results_;
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<dev.kumquatknot.protocol.standin.ResultMessage> getResultsList() {
+  public java.util.List<dev.kumquatknot.protocol.sql.StatementResult> getResultsList() {
     return results_;
   }
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends dev.kumquatknot.protocol.standin.ResultMessageOrBuilder> 
+  public java.util.List<? extends dev.kumquatknot.protocol.sql.StatementResultOrBuilder> 
       getResultsOrBuilderList() {
     return results_;
   }
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
   @java.lang.Override
   public int getResultsCount() {
     return results_.size();
   }
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
   @java.lang.Override
-  public dev.kumquatknot.protocol.standin.ResultMessage getResults(int index) {
+  public dev.kumquatknot.protocol.sql.StatementResult getResults(int index) {
     return results_.get(index);
   }
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
   @java.lang.Override
-  public dev.kumquatknot.protocol.standin.ResultMessageOrBuilder getResultsOrBuilder(
+  public dev.kumquatknot.protocol.sql.StatementResultOrBuilder getResultsOrBuilder(
       int index) {
     return results_.get(index);
   }
 
   public static final int POINT_FIELD_NUMBER = 2;
-  private dev.kumquatknot.protocol.standin.PointMessage point_;
+  private dev.kumquatknot.protocol.sql.HistoryPoint point_;
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
    * @return Whether the point field is set.
    */
   @java.lang.Override
@@ -102,19 +102,19 @@
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
    * @return The point.
    */
   @java.lang.Override
-  public dev.kumquatknot.protocol.standin.PointMessage getPoint() {
-    return point_ == null ? dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance() : point_;
+  public dev.kumquatknot.protocol.sql.HistoryPoint getPoint() {
+    return point_ == null ? dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance() : point_;
   }
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
    */
   @java.lang.Override
-  public dev.kumquatknot.protocol.standin.PointMessageOrBuilder getPointOrBuilder() {
-    return point_ == null ? dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance() : point_;
+  public dev.kumquatknot.protocol.sql.HistoryPointOrBuilder getPointOrBuilder() {
+    return point_ == null ? dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance() : point_;
   }
 
   public static final int ACCEPTED_TERM_FIELD_NUMBER = 3;
@@ -506,9 +506,9 @@
               done = true;
               break;
             case 10: {
-              dev.kumquatknot.protocol.standin.ResultMessage m =
+              dev.kumquatknot.protocol.sql.StatementResult m =
                   input.readMessage(
-                      dev.kumquatknot.protocol.standin.ResultMessage.parser(),
+                      dev.kumquatknot.protocol.sql.StatementResult.parser(),
                       extensionRegistry);
               if (resultsBuilder_ == null) {
                 ensureResultsIsMutable();
@@ -547,22 +547,22 @@
     }
     private int bitField0_;
 
-    private java.util.List<dev.kumquatknot.protocol.standin.ResultMessage> results_ =
+    private java.util.List<dev.kumquatknot.protocol.sql.StatementResult> results_ =
       java.util.Collections.emptyList();
     private void ensureResultsIsMutable() {
       if (!((bitField0_ & 0x00000001) != 0)) {
-        results_ = new java.util.ArrayList<dev.kumquatknot.protocol.standin.ResultMessage>(results_);
+        results_ = new java.util.ArrayList<dev.kumquatknot.protocol.sql.StatementResult>(results_);
         bitField0_ |= 0x00000001;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        dev.kumquatknot.protocol.standin.ResultMessage, dev.kumquatknot.protocol.standin.ResultMessage.Builder, dev.kumquatknot.protocol.standin.ResultMessageOrBuilder> resultsBuilder_;
+        dev.kumquatknot.protocol.sql.StatementResult, dev.kumquatknot.protocol.sql.StatementResult.Builder, dev.kumquatknot.protocol.sql.StatementResultOrBuilder> resultsBuilder_;
 
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
-    public java.util.List<dev.kumquatknot.protocol.standin.ResultMessage> getResultsList() {
+    public java.util.List<dev.kumquatknot.protocol.sql.StatementResult> getResultsList() {
       if (resultsBuilder_ == null) {
         return java.util.Collections.unmodifiableList(results_);
       } else {
@@ -570,7 +570,7 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
     public int getResultsCount() {
       if (resultsBuilder_ == null) {
@@ -580,9 +580,9 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
-    public dev.kumquatknot.protocol.standin.ResultMessage getResults(int index) {
+    public dev.kumquatknot.protocol.sql.StatementResult getResults(int index) {
       if (resultsBuilder_ == null) {
         return results_.get(index);
       } else {
@@ -590,10 +590,10 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
     public Builder setResults(
-        int index, dev.kumquatknot.protocol.standin.ResultMessage value) {
+        int index, dev.kumquatknot.protocol.sql.StatementResult value) {
       if (resultsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureResultsIsMutable();
@@ -605,10 +605,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
     public Builder setResults(
-        int index, dev.kumquatknot.protocol.standin.ResultMessage.Builder builderForValue) {
+        int index, dev.kumquatknot.protocol.sql.StatementResult.Builder builderForValue) {
       if (resultsBuilder_ == null) {
         ensureResultsIsMutable();
         results_.set(index, builderForValue.build());
@@ -619,9 +619,9 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
-    public Builder addResults(dev.kumquatknot.protocol.standin.ResultMessage value) {
+    public Builder addResults(dev.kumquatknot.protocol.sql.StatementResult value) {
       if (resultsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureResultsIsMutable();
@@ -633,10 +633,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
     public Builder addResults(
-        int index, dev.kumquatknot.protocol.standin.ResultMessage value) {
+        int index, dev.kumquatknot.protocol.sql.StatementResult value) {
       if (resultsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureResultsIsMutable();
@@ -648,10 +648,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
     public Builder addResults(
-        dev.kumquatknot.protocol.standin.ResultMessage.Builder builderForValue) {
+        dev.kumquatknot.protocol.sql.StatementResult.Builder builderForValue) {
       if (resultsBuilder_ == null) {
         ensureResultsIsMutable();
         results_.add(builderForValue.build());
@@ -662,10 +662,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
     public Builder addResults(
-        int index, dev.kumquatknot.protocol.standin.ResultMessage.Builder builderForValue) {
+        int index, dev.kumquatknot.protocol.sql.StatementResult.Builder builderForValue) {
       if (resultsBuilder_ == null) {
         ensureResultsIsMutable();
         results_.add(index, builderForValue.build());
@@ -676,10 +676,10 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
     public Builder addAllResults(
-        java.lang.Iterable<? extends dev.kumquatknot.protocol.standin.ResultMessage> values) {
+        java.lang.Iterable<? extends dev.kumquatknot.protocol.sql.StatementResult> values) {
       if (resultsBuilder_ == null) {
         ensureResultsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
@@ -691,7 +691,7 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
     public Builder clearResults() {
       if (resultsBuilder_ == null) {
@@ -704,7 +704,7 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
     public Builder removeResults(int index) {
       if (resultsBuilder_ == null) {
@@ -717,16 +717,16 @@
       return this;
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
-    public dev.kumquatknot.protocol.standin.ResultMessage.Builder getResultsBuilder(
+    public dev.kumquatknot.protocol.sql.StatementResult.Builder getResultsBuilder(
         int index) {
       return internalGetResultsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
-    public dev.kumquatknot.protocol.standin.ResultMessageOrBuilder getResultsOrBuilder(
+    public dev.kumquatknot.protocol.sql.StatementResultOrBuilder getResultsOrBuilder(
         int index) {
       if (resultsBuilder_ == null) {
         return results_.get(index);  } else {
@@ -734,9 +734,9 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
-    public java.util.List<? extends dev.kumquatknot.protocol.standin.ResultMessageOrBuilder> 
+    public java.util.List<? extends dev.kumquatknot.protocol.sql.StatementResultOrBuilder> 
          getResultsOrBuilderList() {
       if (resultsBuilder_ != null) {
         return resultsBuilder_.getMessageOrBuilderList();
@@ -745,33 +745,33 @@
       }
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
-    public dev.kumquatknot.protocol.standin.ResultMessage.Builder addResultsBuilder() {
+    public dev.kumquatknot.protocol.sql.StatementResult.Builder addResultsBuilder() {
       return internalGetResultsFieldBuilder().addBuilder(
-          dev.kumquatknot.protocol.standin.ResultMessage.getDefaultInstance());
+          dev.kumquatknot.protocol.sql.StatementResult.getDefaultInstance());
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
-    public dev.kumquatknot.protocol.standin.ResultMessage.Builder addResultsBuilder(
+    public dev.kumquatknot.protocol.sql.StatementResult.Builder addResultsBuilder(
         int index) {
       return internalGetResultsFieldBuilder().addBuilder(
-          index, dev.kumquatknot.protocol.standin.ResultMessage.getDefaultInstance());
+          index, dev.kumquatknot.protocol.sql.StatementResult.getDefaultInstance());
     }
     /**
-     * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+     * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
      */
-    public java.util.List<dev.kumquatknot.protocol.standin.ResultMessage.Builder> 
+    public java.util.List<dev.kumquatknot.protocol.sql.StatementResult.Builder> 
          getResultsBuilderList() {
       return internalGetResultsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        dev.kumquatknot.protocol.standin.ResultMessage, dev.kumquatknot.protocol.standin.ResultMessage.Builder, dev.kumquatknot.protocol.standin.ResultMessageOrBuilder> 
+        dev.kumquatknot.protocol.sql.StatementResult, dev.kumquatknot.protocol.sql.StatementResult.Builder, dev.kumquatknot.protocol.sql.StatementResultOrBuilder> 
         internalGetResultsFieldBuilder() {
       if (resultsBuilder_ == null) {
         resultsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            dev.kumquatknot.protocol.standin.ResultMessage, dev.kumquatknot.protocol.standin.ResultMessage.Builder, dev.kumquatknot.protocol.standin.ResultMessageOrBuilder>(
+            dev.kumquatknot.protocol.sql.StatementResult, dev.kumquatknot.protocol.sql.StatementResult.Builder, dev.kumquatknot.protocol.sql.StatementResultOrBuilder>(
                 results_,
                 ((bitField0_ & 0x00000001) != 0),
                 getParentForChildren(),
@@ -781,31 +781,31 @@
       return resultsBuilder_;
     }
 
-    private dev.kumquatknot.protocol.standin.PointMessage point_;
+    private dev.kumquatknot.protocol.sql.HistoryPoint point_;
     private com.google.protobuf.SingleFieldBuilder<
-        dev.kumquatknot.protocol.standin.PointMessage, dev.kumquatknot.protocol.standin.PointMessage.Builder, dev.kumquatknot.protocol.standin.PointMessageOrBuilder> pointBuilder_;
+        dev.kumquatknot.protocol.sql.HistoryPoint, dev.kumquatknot.protocol.sql.HistoryPoint.Builder, dev.kumquatknot.protocol.sql.HistoryPointOrBuilder> pointBuilder_;
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
      * @return Whether the point field is set.
      */
     public boolean hasPoint() {
       return ((bitField0_ & 0x00000002) != 0);
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
      * @return The point.
      */
-    public dev.kumquatknot.protocol.standin.PointMessage getPoint() {
+    public dev.kumquatknot.protocol.sql.HistoryPoint getPoint() {
       if (pointBuilder_ == null) {
-        return point_ == null ? dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance() : point_;
+        return point_ == null ? dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance() : point_;
       } else {
         return pointBuilder_.getMessage();
       }
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
      */
-    public Builder setPoint(dev.kumquatknot.protocol.standin.PointMessage value) {
+    public Builder setPoint(dev.kumquatknot.protocol.sql.HistoryPoint value) {
       if (pointBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         point_ = value;
@@ -817,10 +817,10 @@
       return this;
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
      */
     public Builder setPoint(
-        dev.kumquatknot.protocol.standin.PointMessage.Builder builderForValue) {
+        dev.kumquatknot.protocol.sql.HistoryPoint.Builder builderForValue) {
       if (pointBuilder_ == null) {
         point_ = builderForValue.build();
       } else {
@@ -831,13 +831,13 @@
       return this;
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
      */
-    public Builder mergePoint(dev.kumquatknot.protocol.standin.PointMessage value) {
+    public Builder mergePoint(dev.kumquatknot.protocol.sql.HistoryPoint value) {
       if (pointBuilder_ == null) {
         if (((bitField0_ & 0x00000002) != 0) &&
           point_ != null &&
-          point_ != dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance()) {
+          point_ != dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance()) {
           getPointBuilder().mergeFrom(value);
         } else {
           point_ = value;
@@ -852,7 +852,7 @@
       return this;
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
      */
     public Builder clearPoint() {
       bitField0_ = (bitField0_ & ~0x00000002);
@@ -865,33 +865,33 @@
       return this;
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
      */
-    public dev.kumquatknot.protocol.standin.PointMessage.Builder getPointBuilder() {
+    public dev.kumquatknot.protocol.sql.HistoryPoint.Builder getPointBuilder() {
       bitField0_ |= 0x00000002;
       onChanged();
       return internalGetPointFieldBuilder().getBuilder();
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
      */
-    public dev.kumquatknot.protocol.standin.PointMessageOrBuilder getPointOrBuilder() {
+    public dev.kumquatknot.protocol.sql.HistoryPointOrBuilder getPointOrBuilder() {
       if (pointBuilder_ != null) {
         return pointBuilder_.getMessageOrBuilder();
       } else {
         return point_ == null ?
-            dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance() : point_;
+            dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance() : point_;
       }
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        dev.kumquatknot.protocol.standin.PointMessage, dev.kumquatknot.protocol.standin.PointMessage.Builder, dev.kumquatknot.protocol.standin.PointMessageOrBuilder> 
+        dev.kumquatknot.protocol.sql.HistoryPoint, dev.kumquatknot.protocol.sql.HistoryPoint.Builder, dev.kumquatknot.protocol.sql.HistoryPointOrBuilder> 
         internalGetPointFieldBuilder() {
       if (pointBuilder_ == null) {
         pointBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            dev.kumquatknot.protocol.standin.PointMessage, dev.kumquatknot.protocol.standin.PointMessage.Builder, dev.kumquatknot.protocol.standin.PointMessageOrBuilder>(
+            dev.kumquatknot.protocol.sql.HistoryPoint, dev.kumquatknot.protocol.sql.HistoryPoint.Builder, dev.kumquatknot.protocol.sql.HistoryPointOrBuilder>(
                 getPoint(),
                 getParentForChildren(),
                 isClean());
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/ReplyMessageOrBuilder.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/ReplyMessageOrBuilder.java
@@ -11,43 +11,43 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
-  java.util.List<dev.kumquatknot.protocol.standin.ResultMessage> 
+  java.util.List<dev.kumquatknot.protocol.sql.StatementResult> 
       getResultsList();
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
-  dev.kumquatknot.protocol.standin.ResultMessage getResults(int index);
+  dev.kumquatknot.protocol.sql.StatementResult getResults(int index);
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
   int getResultsCount();
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
-  java.util.List<? extends dev.kumquatknot.protocol.standin.ResultMessageOrBuilder> 
+  java.util.List<? extends dev.kumquatknot.protocol.sql.StatementResultOrBuilder> 
       getResultsOrBuilderList();
   /**
-   * <code>repeated .dev.kumquatknot.standin.ResultMessage results = 1;</code>
+   * <code>repeated .dev.kumquatknot.sql.StatementResult results = 1;</code>
    */
-  dev.kumquatknot.protocol.standin.ResultMessageOrBuilder getResultsOrBuilder(
+  dev.kumquatknot.protocol.sql.StatementResultOrBuilder getResultsOrBuilder(
       int index);
 
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
    * @return Whether the point field is set.
    */
   boolean hasPoint();
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
    * @return The point.
    */
-  dev.kumquatknot.protocol.standin.PointMessage getPoint();
+  dev.kumquatknot.protocol.sql.HistoryPoint getPoint();
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage point = 2;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint point = 2;</code>
    */
-  dev.kumquatknot.protocol.standin.PointMessageOrBuilder getPointOrBuilder();
+  dev.kumquatknot.protocol.sql.HistoryPointOrBuilder getPointOrBuilder();
 
   /**
    * <code>int64 accepted_term = 3;</code>
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/ReportMessage.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/ReportMessage.java
@@ -112,9 +112,9 @@
   }
 
   public static final int LAST_ENTRY_FIELD_NUMBER = 4;
-  private dev.kumquatknot.protocol.standin.PointMessage lastEntry_;
+  private dev.kumquatknot.protocol.sql.HistoryPoint lastEntry_;
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
    * @return Whether the lastEntry field is set.
    */
   @java.lang.Override
@@ -122,19 +122,19 @@
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
    * @return The lastEntry.
    */
   @java.lang.Override
-  public dev.kumquatknot.protocol.standin.PointMessage getLastEntry() {
-    return lastEntry_ == null ? dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance() : lastEntry_;
+  public dev.kumquatknot.protocol.sql.HistoryPoint getLastEntry() {
+    return lastEntry_ == null ? dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance() : lastEntry_;
   }
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
    */
   @java.lang.Override
-  public dev.kumquatknot.protocol.standin.PointMessageOrBuilder getLastEntryOrBuilder() {
-    return lastEntry_ == null ? dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance() : lastEntry_;
+  public dev.kumquatknot.protocol.sql.HistoryPointOrBuilder getLastEntryOrBuilder() {
+    return lastEntry_ == null ? dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance() : lastEntry_;
   }
 
   public static final int PRIMARY_CONTACT_AGE_NANOS_FIELD_NUMBER = 5;
@@ -719,31 +719,31 @@
       return this;
     }
 
-    private dev.kumquatknot.protocol.standin.PointMessage lastEntry_;
+    private dev.kumquatknot.protocol.sql.HistoryPoint lastEntry_;
     private com.google.protobuf.SingleFieldBuilder<
-        dev.kumquatknot.protocol.standin.PointMessage, dev.kumquatknot.protocol.standin.PointMessage.Builder, dev.kumquatknot.protocol.standin.PointMessageOrBuilder> lastEntryBuilder_;
+        dev.kumquatknot.protocol.sql.HistoryPoint, dev.kumquatknot.protocol.sql.HistoryPoint.Builder, dev.kumquatknot.protocol.sql.HistoryPointOrBuilder> lastEntryBuilder_;
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
      * @return Whether the lastEntry field is set.
      */
     public boolean hasLastEntry() {
       return ((bitField0_ & 0x00000008) != 0);
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
      * @return The lastEntry.
      */
-    public dev.kumquatknot.protocol.standin.PointMessage getLastEntry() {
+    public dev.kumquatknot.protocol.sql.HistoryPoint getLastEntry() {
       if (lastEntryBuilder_ == null) {
-        return lastEntry_ == null ? dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance() : lastEntry_;
+        return lastEntry_ == null ? dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance() : lastEntry_;
       } else {
         return lastEntryBuilder_.getMessage();
       }
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
      */
-    public Builder setLastEntry(dev.kumquatknot.protocol.standin.PointMessage value) {
+    public Builder setLastEntry(dev.kumquatknot.protocol.sql.HistoryPoint value) {
       if (lastEntryBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         lastEntry_ = value;
@@ -755,10 +755,10 @@
       return this;
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
      */
     public Builder setLastEntry(
-        dev.kumquatknot.protocol.standin.PointMessage.Builder builderForValue) {
+        dev.kumquatknot.protocol.sql.HistoryPoint.Builder builderForValue) {
       if (lastEntryBuilder_ == null) {
         lastEntry_ = builderForValue.build();
       } else {
@@ -769,13 +769,13 @@
       return this;
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
      */
-    public Builder mergeLastEntry(dev.kumquatknot.protocol.standin.PointMessage value) {
+    public Builder mergeLastEntry(dev.kumquatknot.protocol.sql.HistoryPoint value) {
       if (lastEntryBuilder_ == null) {
         if (((bitField0_ & 0x00000008) != 0) &&
           lastEntry_ != null &&
-          lastEntry_ != dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance()) {
+          lastEntry_ != dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance()) {
           getLastEntryBuilder().mergeFrom(value);
         } else {
           lastEntry_ = value;
@@ -790,7 +790,7 @@
       return this;
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
      */
     public Builder clearLastEntry() {
       bitField0_ = (bitField0_ & ~0x00000008);
@@ -803,33 +803,33 @@
       return this;
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
      */
-    public dev.kumquatknot.protocol.standin.PointMessage.Builder getLastEntryBuilder() {
+    public dev.kumquatknot.protocol.sql.HistoryPoint.Builder getLastEntryBuilder() {
       bitField0_ |= 0x00000008;
       onChanged();
       return internalGetLastEntryFieldBuilder().getBuilder();
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
      */
-    public dev.kumquatknot.protocol.standin.PointMessageOrBuilder getLastEntryOrBuilder() {
+    public dev.kumquatknot.protocol.sql.HistoryPointOrBuilder getLastEntryOrBuilder() {
       if (lastEntryBuilder_ != null) {
         return lastEntryBuilder_.getMessageOrBuilder();
       } else {
         return lastEntry_ == null ?
-            dev.kumquatknot.protocol.standin.PointMessage.getDefaultInstance() : lastEntry_;
+            dev.kumquatknot.protocol.sql.HistoryPoint.getDefaultInstance() : lastEntry_;
       }
     }
     /**
-     * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+     * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        dev.kumquatknot.protocol.standin.PointMessage, dev.kumquatknot.protocol.standin.PointMessage.Builder, dev.kumquatknot.protocol.standin.PointMessageOrBuilder> 
+        dev.kumquatknot.protocol.sql.HistoryPoint, dev.kumquatknot.protocol.sql.HistoryPoint.Builder, dev.kumquatknot.protocol.sql.HistoryPointOrBuilder> 
         internalGetLastEntryFieldBuilder() {
       if (lastEntryBuilder_ == null) {
         lastEntryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            dev.kumquatknot.protocol.standin.PointMessage, dev.kumquatknot.protocol.standin.PointMessage.Builder, dev.kumquatknot.protocol.standin.PointMessageOrBuilder>(
+            dev.kumquatknot.protocol.sql.HistoryPoint, dev.kumquatknot.protocol.sql.HistoryPoint.Builder, dev.kumquatknot.protocol.sql.HistoryPointOrBuilder>(
                 getLastEntry(),
                 getParentForChildren(),
                 isClean());
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/ReportMessageOrBuilder.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/ReportMessageOrBuilder.java
@@ -35,19 +35,19 @@
   long getAcceptedTerm();
 
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
    * @return Whether the lastEntry field is set.
    */
   boolean hasLastEntry();
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
    * @return The lastEntry.
    */
-  dev.kumquatknot.protocol.standin.PointMessage getLastEntry();
+  dev.kumquatknot.protocol.sql.HistoryPoint getLastEntry();
   /**
-   * <code>.dev.kumquatknot.standin.PointMessage last_entry = 4;</code>
+   * <code>.dev.kumquatknot.sql.HistoryPoint last_entry = 4;</code>
    */
-  dev.kumquatknot.protocol.standin.PointMessageOrBuilder getLastEntryOrBuilder();
+  dev.kumquatknot.protocol.sql.HistoryPointOrBuilder getLastEntryOrBuilder();
 
   /**
    * <pre>
--- a/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/Standin.java
+++ b/kumquatknot-protocol/src/main/java/dev/kumquatknot/protocol/standin/Standin.java
@@ -41,16 +41,6 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_dev_kumquatknot_standin_BatchMessage_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_dev_kumquatknot_standin_StatementMessage_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_dev_kumquatknot_standin_StatementMessage_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_dev_kumquatknot_standin_ValueMessage_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_dev_kumquatknot_standin_ValueMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_dev_kumquatknot_standin_MemberMessage_descriptor;
   static final 
@@ -71,21 +61,6 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_dev_kumquatknot_standin_ReplyMessage_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_dev_kumquatknot_standin_ResultMessage_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_dev_kumquatknot_standin_ResultMessage_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_dev_kumquatknot_standin_RowMessage_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_dev_kumquatknot_standin_RowMessage_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_dev_kumquatknot_standin_PointMessage_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_dev_kumquatknot_standin_PointMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_dev_kumquatknot_standin_FailureMessage_descriptor;
   static final 
@@ -166,93 +141,84 @@
   static {
     java.lang.String[] descriptorData = {
       "\n%dev/kumquatknot/standin/standin.proto\022" +
-      "\027dev.kumquatknot.standin\"\210\001\n\rClientMessa" +
-      "ge\0224\n\004open\030\001 \001(\0132$.dev.kumquatknot.stand" +
-      "in.OpenMessageH\000\0226\n\005batch\030\002 \001(\0132%.dev.ku" +
-      "mquatknot.standin.BatchMessageH\000B\t\n\007cont" +
-      "ent\"\031\n\013OpenMessage\022\n\n\002vm\030\001 \001(\t\"\266\001\n\014Batch" +
-      "Message\022\017\n\007request\030\001 \001(\t\022\014\n\004term\030\002 \001(\003\022\021" +
-      "\n\tread_only\030\003 \001(\010\022=\n\nstatements\030\004 \003(\0132)." +
-      "dev.kumquatknot.standin.StatementMessage" +
-      "\0225\n\003end\030\005 \001(\0162(.dev.kumquatknot.standin." +
-      "BatchEndMessage\"[\n\020StatementMessage\022\014\n\004t" +
-      "ext\030\001 \001(\t\0229\n\nparameters\030\002 \003(\0132%.dev.kumq" +
-      "uatknot.standin.ValueMessage\"\\\n\014ValueMes" +
-      "sage\022\016\n\004text\030\001 \001(\tH\000\022\021\n\007integer\030\002 \001(\022H\000\022" +
-      "\016\n\004real\030\003 \001(\001H\000\022\021\n\007boolean\030\004 \001(\010H\000B\006\n\004ki" +
-      "nd\"\216\001\n\rMemberMessage\0228\n\006opened\030\001 \001(\0132&.d" +
-      "ev.kumquatknot.standin.OpenedMessageH\000\0228" +
-      "\n\006answer\030\002 \001(\0132&.dev.kumquatknot.standin" +
-      ".AnswerMessageH\000B\t\n\007content\"I\n\rOpenedMes" +
-      "sage\0228\n\007failure\030\001 \001(\0132\'.dev.kumquatknot." +
-      "standin.FailureMessage\"\237\001\n\rAnswerMessage" +
-      "\022\017\n\007request\030\001 \001(\t\0226\n\005reply\030\002 \001(\0132%.dev.k" +
-      "umquatknot.standin.ReplyMessageH\000\022:\n\007fai" +
-      "lure\030\003 \001(\0132\'.dev.kumquatknot.standin.Fai" +
-      "lureMessageH\000B\t\n\007outcome\"\224\001\n\014ReplyMessag" +
-      "e\0227\n\007results\030\001 \003(\0132&.dev.kumquatknot.sta" +
-      "ndin.ResultMessage\0224\n\005point\030\002 \001(\0132%.dev." +
-      "kumquatknot.standin.PointMessage\022\025\n\racce" +
-      "pted_term\030\003 \001(\003\"i\n\rResultMessage\022\017\n\007colu" +
-      "mns\030\001 \003(\t\0221\n\004rows\030\002 \003(\0132#.dev.kumquatkno" +
-      "t.standin.RowMessage\022\024\n\014updated_rows\030\003 \001" +
-      "(\003\"C\n\nRowMessage\0225\n\006values\030\001 \003(\0132%.dev.k" +
-      "umquatknot.standin.ValueMessage\".\n\014Point" +
-      "Message\022\014\n\004term\030\001 \001(\003\022\020\n\010position\030\002 \001(\003\"" +
-      "\300\003\n\016FailureMessage\022R\n\024too_many_connectio" +
-      "ns\030\001 \001(\01322.dev.kumquatknot.standin.TooMa" +
-      "nyConnectionsMessageH\000\022?\n\nlower_term\030\002 \001" +
-      "(\0132).dev.kumquatknot.standin.LowerTermMe" +
-      "ssageH\000\022A\n\013not_primary\030\003 \001(\0132*.dev.kumqu" +
-      "atknot.standin.NotPrimaryMessageH\000\022K\n\020st" +
-      "atement_failed\030\004 \001(\0132/.dev.kumquatknot.s" +
-      "tandin.StatementFailedMessageH\000\022=\n\tno_an" +
-      "swer\030\005 \001(\0132(.dev.kumquatknot.standin.NoA" +
-      "nswerMessageH\000\022B\n\013unreachable\030\006 \001(\0132+.de" +
-      "v.kumquatknot.standin.UnreachableMessage" +
-      "H\000B\006\n\004kind\"+\n\031TooManyConnectionsMessage\022" +
-      "\016\n\006detail\030\001 \001(\t\")\n\020LowerTermMessage\022\025\n\ra" +
-      "ccepted_term\030\001 \001(\003\"*\n\021NotPrimaryMessage\022" +
-      "\025\n\raccepted_term\030\001 \001(\003\";\n\026StatementFaile" +
-      "dMessage\022\021\n\tsql_state\030\001 \001(\t\022\016\n\006detail\030\002 " +
-      "\001(\t\"!\n\017NoAnswerMessage\022\016\n\006detail\030\001 \001(\t\"$" +
-      "\n\022UnreachableMessage\022\016\n\006detail\030\001 \001(\t\"\033\n\r" +
-      "ReportRequest\022\n\n\002vm\030\001 \001(\t\"=\n\017ProposalReq" +
-      "uest\022\n\n\002vm\030\001 \001(\t\022\014\n\004term\030\002 \001(\003\022\020\n\010propos" +
-      "er\030\003 \001(\t\":\n\rFollowRequest\022\n\n\002vm\030\001 \001(\t\022\014\n" +
-      "\004term\030\002 \001(\003\022\017\n\007primary\030\003 \001(\t\"\217\001\n\014Control" +
-      "Reply\0228\n\006report\030\001 \001(\0132&.dev.kumquatknot." +
-      "standin.ReportMessageH\000\022:\n\007failure\030\002 \001(\013" +
-      "2\'.dev.kumquatknot.standin.FailureMessag" +
-      "eH\000B\t\n\007outcome\"\310\001\n\rReportMessage\022\016\n\006memb" +
-      "er\030\001 \001(\t\022\017\n\007primary\030\002 \001(\010\022\025\n\raccepted_te" +
-      "rm\030\003 \001(\003\0229\n\nlast_entry\030\004 \001(\0132%.dev.kumqu" +
-      "atknot.standin.PointMessage\022&\n\031primary_c" +
-      "ontact_age_nanos\030\005 \001(\003H\000\210\001\001B\034\n\032_primary_" +
-      "contact_age_nanos\"\035\n\014FaultRequest\022\r\n\005fau" +
-      "lt\030\001 \001(\t\"\033\n\nFaultReply\022\r\n\005error\030\001 \001(\t*X\n" +
-      "\017BatchEndMessage\022\027\n\023BATCH_END_KEEP_OPEN\020" +
-      "\000\022\024\n\020BATCH_END_COMMIT\020\001\022\026\n\022BATCH_END_ROL" +
-      "LBACK\020\0022\264\004\n\016DatabaseMember\022]\n\007Connect\022&." +
-      "dev.kumquatknot.standin.ClientMessage\032&." +
-      "dev.kumquatknot.standin.MemberMessage(\0010" +
-      "\001\022W\n\006Report\022&.dev.kumquatknot.standin.Re" +
-      "portRequest\032%.dev.kumquatknot.standin.Co" +
-      "ntrolReply\022]\n\nAcceptTerm\022(.dev.kumquatkn" +
-      "ot.standin.ProposalRequest\032%.dev.kumquat" +
-      "knot.standin.ControlReply\022Z\n\007Promote\022(.d" +
-      "ev.kumquatknot.standin.ProposalRequest\032%" +
-      ".dev.kumquatknot.standin.ControlReply\022W\n" +
-      "\006Follow\022&.dev.kumquatknot.standin.Follow" +
-      "Request\032%.dev.kumquatknot.standin.Contro" +
-      "lReply\022V\n\010SetFault\022%.dev.kumquatknot.sta" +
-      "ndin.FaultRequest\032#.dev.kumquatknot.stan" +
-      "din.FaultReplyB$\n dev.kumquatknot.protoc" +
-      "ol.standinP\001b\006proto3"
+      "\027dev.kumquatknot.standin\032\035dev/kumquatkno" +
+      "t/sql/sql.proto\"\210\001\n\rClientMessage\0224\n\004ope" +
+      "n\030\001 \001(\0132$.dev.kumquatknot.standin.OpenMe" +
+      "ssageH\000\0226\n\005batch\030\002 \001(\0132%.dev.kumquatknot" +
+      ".standin.BatchMessageH\000B\t\n\007content\"\031\n\013Op" +
+      "enMessage\022\n\n\002vm\030\001 \001(\t\"\253\001\n\014BatchMessage\022\017" +
+      "\n\007request\030\001 \001(\t\022\014\n\004term\030\002 \001(\003\022\021\n\tread_on" +
+      "ly\030\003 \001(\010\0222\n\nstatements\030\004 \003(\0132\036.dev.kumqu" +
+      "atknot.sql.Statement\0225\n\003end\030\005 \001(\0162(.dev." +
+      "kumquatknot.standin.BatchEndMessage\"\216\001\n\r" +
+      "MemberMessage\0228\n\006opened\030\001 \001(\0132&.dev.kumq" +
+      "uatknot.standin.OpenedMessageH\000\0228\n\006answe" +
+      "r\030\002 \001(\0132&.dev.kumquatknot.standin.Answer" +
+      "MessageH\000B\t\n\007content\"I\n\rOpenedMessage\0228\n" +
+      "\007failure\030\001 \001(\0132\'.dev.kumquatknot.standin" +
+      ".FailureMessage\"\237\001\n\rAnswerMessage\022\017\n\007req" +
+      "uest\030\001 \001(\t\0226\n\005reply\030\002 \001(\0132%.dev.kumquatk" +
+      "not.standin.ReplyMessageH\000\022:\n\007failure\030\003 " +
+      "\001(\0132\'.dev.kumquatknot.standin.FailureMes" +
+      "sageH\000B\t\n\007outcome\"\216\001\n\014ReplyMessage\0225\n\007re" +
+      "sults\030\001 \003(\0132$.dev.kumquatknot.sql.Statem" +
+      "entResult\0220\n\005point\030\002 \001(\0132!.dev.kumquatkn" +
+      "ot.sql.HistoryPoint\022\025\n\raccepted_term\030\003 \001" +
+      "(\003\"\300\003\n\016FailureMessage\022R\n\024too_many_connec" +
+      "tions\030\001 \001(\01322.dev.kumquatknot.standin.To" +
+      "oManyConnectionsMessageH\000\022?\n\nlower_term\030" +
+      "\002 \001(\0132).dev.kumquatknot.standin.LowerTer" +
+      "mMessageH\000\022A\n\013not_primary\030\003 \001(\0132*.dev.ku" +
+      "mquatknot.standin.NotPrimaryMessageH\000\022K\n" +
+      "\020statement_failed\030\004 \001(\0132/.dev.kumquatkno" +
+      "t.standin.StatementFailedMessageH\000\022=\n\tno" +
+      "_answer\030\005 \001(\0132(.dev.kumquatknot.standin." +
+      "NoAnswerMessageH\000\022B\n\013unreachable\030\006 \001(\0132+" +
+      ".dev.kumquatknot.standin.UnreachableMess" +
+      "ageH\000B\006\n\004kind\"+\n\031TooManyConnectionsMessa" +
+      "ge\022\016\n\006detail\030\001 \001(\t\")\n\020LowerTermMessage\022\025" +
+      "\n\raccepted_term\030\001 \001(\003\"*\n\021NotPrimaryMessa" +
+      "ge\022\025\n\raccepted_term\030\001 \001(\003\";\n\026StatementFa" +
+      "iledMessage\022\021\n\tsql_state\030\001 \001(\t\022\016\n\006detail" +
+      "\030\002 \001(\t\"!\n\017NoAnswerMessage\022\016\n\006detail\030\001 \001(" +
+      "\t\"$\n\022UnreachableMessage\022\016\n\006detail\030\001 \001(\t\"" +
+      "\033\n\rReportRequest\022\n\n\002vm\030\001 \001(\t\"=\n\017Proposal" +
+      "Request\022\n\n\002vm\030\001 \001(\t\022\014\n\004term\030\002 \001(\003\022\020\n\010pro" +
+      "poser\030\003 \001(\t\":\n\rFollowRequest\022\n\n\002vm\030\001 \001(\t" +
+      "\022\014\n\004term\030\002 \001(\003\022\017\n\007primary\030\003 \001(\t\"\217\001\n\014Cont" +
+      "rolReply\0228\n\006report\030\001 \001(\0132&.dev.kumquatkn" +
+      "ot.standin.ReportMessageH\000\022:\n\007failure\030\002 " +
+      "\001(\0132\'.dev.kumquatknot.standin.FailureMes" +
+      "sageH\000B\t\n\007outcome\"\304\001\n\rReportMessage\022\016\n\006m" +
+      "ember\030\001 \001(\t\022\017\n\007primary\030\002 \001(\010\022\025\n\raccepted" +
+      "_term\030\003 \001(\003\0225\n\nlast_entry\030\004 \001(\0132!.dev.ku" +
+      "mquatknot.sql.HistoryPoint\022&\n\031primary_co" +
+      "ntact_age_nanos\030\005 \001(\003H\000\210\001\001B\034\n\032_primary_c" +
+      "ontact_age_nanos\"\035\n\014FaultRequest\022\r\n\005faul" +
+      "t\030\001 \001(\t\"\033\n\nFaultReply\022\r\n\005error\030\001 \001(\t*X\n\017" +
+      "BatchEndMessage\022\027\n\023BATCH_END_KEEP_OPEN\020\000" +
+      "\022\024\n\020BATCH_END_COMMIT\020\001\022\026\n\022BATCH_END_ROLL" +
+      "BACK\020\0022\264\004\n\016DatabaseMember\022]\n\007Connect\022&.d" +
+      "ev.kumquatknot.standin.ClientMessage\032&.d" +
+      "ev.kumquatknot.standin.MemberMessage(\0010\001" +
+      "\022W\n\006Report\022&.dev.kumquatknot.standin.Rep" +
+      "ortRequest\032%.dev.kumquatknot.standin.Con" +
+      "trolReply\022]\n\nAcceptTerm\022(.dev.kumquatkno" +
+      "t.standin.ProposalRequest\032%.dev.kumquatk" +
+      "not.standin.ControlReply\022Z\n\007Promote\022(.de" +
+      "v.kumquatknot.standin.ProposalRequest\032%." +
+      "dev.kumquatknot.standin.ControlReply\022W\n\006" +
+      "Follow\022&.dev.kumquatknot.standin.FollowR" +
+      "equest\032%.dev.kumquatknot.standin.Control" +
+      "Reply\022V\n\010SetFault\022%.dev.kumquatknot.stan" +
+      "din.FaultRequest\032#.dev.kumquatknot.stand" +
+      "in.FaultReplyB$\n dev.kumquatknot.protoco" +
+      "l.standinP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
         new com.google.protobuf.Descriptors.FileDescriptor[] {
+          dev.kumquatknot.protocol.sql.Sql.getDescriptor(),
         });
     internal_static_dev_kumquatknot_standin_ClientMessage_descriptor =
       getDescriptor().getMessageType(0);
@@ -272,145 +238,116 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_BatchMessage_descriptor,
         new java.lang.String[] { "Request", "Term", "ReadOnly", "Statements", "End", });
-    internal_static_dev_kumquatknot_standin_StatementMessage_descriptor =
-      getDescriptor().getMessageType(3);
-    internal_static_dev_kumquatknot_standin_StatementMessage_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_dev_kumquatknot_standin_StatementMessage_descriptor,
-        new java.lang.String[] { "Text", "Parameters", });
-    internal_static_dev_kumquatknot_standin_ValueMessage_descriptor =
-      getDescriptor().getMessageType(4);
-    internal_static_dev_kumquatknot_standin_ValueMessage_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_dev_kumquatknot_standin_ValueMessage_descriptor,
-        new java.lang.String[] { "Text", "Integer", "Real", "Boolean", "Kind", });
     internal_static_dev_kumquatknot_standin_MemberMessage_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(3);
     internal_static_dev_kumquatknot_standin_MemberMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_MemberMessage_descriptor,
         new java.lang.String[] { "Opened", "Answer", "Content", });
     internal_static_dev_kumquatknot_standin_OpenedMessage_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(4);
     internal_static_dev_kumquatknot_standin_OpenedMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_OpenedMessage_descriptor,
         new java.lang.String[] { "Failure", });
     internal_static_dev_kumquatknot_standin_AnswerMessage_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(5);
     internal_static_dev_kumquatknot_standin_AnswerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_AnswerMessage_descriptor,
         new java.lang.String[] { "Request", "Reply", "Failure", "Outcome", });
     internal_static_dev_kumquatknot_standin_ReplyMessage_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(6);
     internal_static_dev_kumquatknot_standin_ReplyMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_ReplyMessage_descriptor,
         new java.lang.String[] { "Results", "Point", "AcceptedTerm", });
-    internal_static_dev_kumquatknot_standin_ResultMessage_descriptor =
-      getDescriptor().getMessageType(9);
-    internal_static_dev_kumquatknot_standin_ResultMessage_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_dev_kumquatknot_standin_ResultMessage_descriptor,
-        new java.lang.String[] { "Columns", "Rows", "UpdatedRows", });
-    internal_static_dev_kumquatknot_standin_RowMessage_descriptor =
-      getDescriptor().getMessageType(10);
-    internal_static_dev_kumquatknot_standin_RowMessage_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_dev_kumquatknot_standin_RowMessage_descriptor,
-        new java.lang.String[] { "Values", });
-    internal_static_dev_kumquatknot_standin_PointMessage_descriptor =
-      getDescriptor().getMessageType(11);
-    internal_static_dev_kumquatknot_standin_PointMessage_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_dev_kumquatknot_standin_PointMessage_descriptor,
-        new java.lang.String[] { "Term", "Position", });
     internal_static_dev_kumquatknot_standin_FailureMessage_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(7);
     internal_static_dev_kumquatknot_standin_FailureMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_FailureMessage_descriptor,
         new java.lang.String[] { "TooManyConnections", "LowerTerm", "NotPrimary", "StatementFailed", "NoAnswer", "Unreachable", "Kind", });
     internal_static_dev_kumquatknot_standin_TooManyConnectionsMessage_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(8);
     internal_static_dev_kumquatknot_standin_TooManyConnectionsMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_TooManyConnectionsMessage_descriptor,
         new java.lang.String[] { "Detail", });
     internal_static_dev_kumquatknot_standin_LowerTermMessage_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(9);
     internal_static_dev_kumquatknot_standin_LowerTermMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_LowerTermMessage_descriptor,
         new java.lang.String[] { "AcceptedTerm", });
     internal_static_dev_kumquatknot_standin_NotPrimaryMessage_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(10);
     internal_static_dev_kumquatknot_standin_NotPrimaryMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_NotPrimaryMessage_descriptor,
         new java.lang.String[] { "AcceptedTerm", });
     internal_static_dev_kumquatknot_standin_StatementFailedMessage_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(11);
     internal_static_dev_kumquatknot_standin_StatementFailedMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_StatementFailedMessage_descriptor,
         new java.lang.String[] { "SqlState", "Detail", });
     internal_static_dev_kumquatknot_standin_NoAnswerMessage_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(12);
     internal_static_dev_kumquatknot_standin_NoAnswerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_NoAnswerMessage_descriptor,
         new java.lang.String[] { "Detail", });
     internal_static_dev_kumquatknot_standin_UnreachableMessage_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(13);
     internal_static_dev_kumquatknot_standin_UnreachableMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_UnreachableMessage_descriptor,
         new java.lang.String[] { "Detail", });
     internal_static_dev_kumquatknot_standin_ReportRequest_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(14);
     internal_static_dev_kumquatknot_standin_ReportRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_ReportRequest_descriptor,
         new java.lang.String[] { "Vm", });
     internal_static_dev_kumquatknot_standin_ProposalRequest_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(15);
     internal_static_dev_kumquatknot_standin_ProposalRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_ProposalRequest_descriptor,
         new java.lang.String[] { "Vm", "Term", "Proposer", });
     internal_static_dev_kumquatknot_standin_FollowRequest_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(16);
     internal_static_dev_kumquatknot_standin_FollowRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_FollowRequest_descriptor,
         new java.lang.String[] { "Vm", "Term", "Primary", });
     internal_static_dev_kumquatknot_standin_ControlReply_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(17);
     internal_static_dev_kumquatknot_standin_ControlReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_ControlReply_descriptor,
         new java.lang.String[] { "Report", "Failure", "Outcome", });
     internal_static_dev_kumquatknot_standin_ReportMessage_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(18);
     internal_static_dev_kumquatknot_standin_ReportMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_ReportMessage_descriptor,
         new java.lang.String[] { "Member", "Primary", "AcceptedTerm", "LastEntry", "PrimaryContactAgeNanos", });
     internal_static_dev_kumquatknot_standin_FaultRequest_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(19);
     internal_static_dev_kumquatknot_standin_FaultRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_FaultRequest_descriptor,
         new java.lang.String[] { "Fault", });
     internal_static_dev_kumquatknot_standin_FaultReply_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(20);
     internal_static_dev_kumquatknot_standin_FaultReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dev_kumquatknot_standin_FaultReply_descriptor,
         new java.lang.String[] { "Error", });
     descriptor.resolveAllFeaturesImmutable();
+    dev.kumquatknot.protocol.sql.Sql.getDescriptor();
   }
 
   // @@protoc_insertion_point(outer_class_scope)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/standin/MemberMessages.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/standin/MemberMessages.kt
@@ -3,8 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import dev.kumquatknot.core.databasegroup.HistoryPoint
-import dev.kumquatknot.core.databasegroup.LogPosition
 import dev.kumquatknot.core.databasegroup.Term
 import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.identity.RequestId
@@ -13,10 +11,7 @@
 import dev.kumquatknot.core.member.MemberFailure
 import dev.kumquatknot.core.member.MemberReport
 import dev.kumquatknot.core.member.MemberRole
-import dev.kumquatknot.core.member.SqlValue
-import dev.kumquatknot.core.member.Statement
 import dev.kumquatknot.core.member.StatementBatch
-import dev.kumquatknot.core.member.StatementResult
 import dev.kumquatknot.core.outcome.Step
 import dev.kumquatknot.protocol.standin.AnswerMessage
 import dev.kumquatknot.protocol.standin.BatchEndMessage
@@ -26,16 +21,15 @@
 import dev.kumquatknot.protocol.standin.LowerTermMessage
 import dev.kumquatknot.protocol.standin.NoAnswerMessage
 import dev.kumquatknot.protocol.standin.NotPrimaryMessage
-import dev.kumquatknot.protocol.standin.PointMessage
 import dev.kumquatknot.protocol.standin.ReplyMessage
 import dev.kumquatknot.protocol.standin.ReportMessage
-import dev.kumquatknot.protocol.standin.ResultMessage
-import dev.kumquatknot.protocol.standin.RowMessage
 import dev.kumquatknot.protocol.standin.StatementFailedMessage
-import dev.kumquatknot.protocol.standin.StatementMessage
 import dev.kumquatknot.protocol.standin.TooManyConnectionsMessage
 import dev.kumquatknot.protocol.standin.UnreachableMessage
-import dev.kumquatknot.protocol.standin.ValueMessage
+import dev.kumquatknot.proxy.peer.toHistoryPoint
+import dev.kumquatknot.proxy.peer.toMessage
+import dev.kumquatknot.proxy.peer.toStatement
+import dev.kumquatknot.proxy.peer.toStatementResult
 import kotlin.time.Duration.Companion.nanoseconds
 
 /** Conversions between the member port's types and the messages of the stand-in database, for both ends. */
@@ -121,8 +115,8 @@
 
     private fun AnswerMessage.toReply() = BatchReply(
         request = RequestId(request),
-        results = reply.resultsList.map { it.toResult() },
-        point = reply.point.toPoint(),
+        results = reply.resultsList.map { it.toStatementResult() },
+        point = reply.point.toHistoryPoint(),
         acceptedTerm = Term(reply.acceptedTerm),
     )
 
@@ -138,47 +132,7 @@
         member = MemberName(member),
         role = if (primary) MemberRole.PRIMARY else MemberRole.REPLICA,
         acceptedTerm = Term(acceptedTerm),
-        lastEntry = lastEntry.toPoint(),
+        lastEntry = lastEntry.toHistoryPoint(),
         primaryContactAge = if (hasPrimaryContactAgeNanos()) primaryContactAgeNanos.nanoseconds else null,
     )
-
-    private fun HistoryPoint.toMessage() =
-        PointMessage.newBuilder().setTerm(term.value).setPosition(position.value).build()
-
-    private fun PointMessage.toPoint() = HistoryPoint(Term(term), LogPosition(position))
-
-    private fun Statement.toMessage() =
-        StatementMessage.newBuilder().setText(text).addAllParameters(parameters.map { it.toMessage() }).build()
-
-    private fun StatementMessage.toStatement() = Statement(text, parametersList.map { it.toValue() })
-
-    private fun StatementResult.toMessage() = ResultMessage.newBuilder()
-        .addAllColumns(columns)
-        .addAllRows(rows.map { row -> RowMessage.newBuilder().addAllValues(row.map { it.toMessage() }).build() })
-        .setUpdatedRows(updatedRows)
-        .build()
-
-    private fun ResultMessage.toResult() = StatementResult(
-        columns = columnsList.toList(),
-        rows = rowsList.map { row -> row.valuesList.map { it.toValue() } },
-        updatedRows = updatedRows,
-    )
-
-    private fun SqlValue.toMessage(): ValueMessage = ValueMessage.newBuilder().also {
-        when (this) {
-            SqlValue.Null -> Unit
-            is SqlValue.Text -> it.setText(value)
-            is SqlValue.Integer -> it.setInteger(value)
-            is SqlValue.Real -> it.setReal(value)
-            is SqlValue.Bool -> it.setBoolean(value)
-        }
-    }.build()
-
-    private fun ValueMessage.toValue(): SqlValue = when (kindCase) {
-        ValueMessage.KindCase.TEXT -> SqlValue.Text(text)
-        ValueMessage.KindCase.INTEGER -> SqlValue.Integer(integer)
-        ValueMessage.KindCase.REAL -> SqlValue.Real(real)
-        ValueMessage.KindCase.BOOLEAN -> SqlValue.Bool(boolean)
-        ValueMessage.KindCase.KIND_NOT_SET, null -> SqlValue.Null
-    }
 }
