Serve interactive sessions on the users' platform, thin

Cause: the platform speaks a line protocol, keeps its objects by kind, and orders promotions by call; the product had none of that. Change: core gains sessions with values and plans, freshness proofs, a primary's lead as proved, placement of reads, the failover decision and the lease of a duty; proxy runs them on one event loop; platform/ holds the wire names. Ruled out: a gateway for each member on small deployments; with 21 to 41 connections and 8 VMs each VM keeps its own, and a member's short queue evens them out.

--- a/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/CommandLine.kt
+++ b/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/CommandLine.kt
@@ -7,6 +7,7 @@
 import dev.kumquatknot.app.command.GenerateCommand
 import dev.kumquatknot.app.command.KeysCommand
 import dev.kumquatknot.app.command.MeasureCommand
+import dev.kumquatknot.app.command.NodeCommand
 import dev.kumquatknot.app.command.ProxyCommand
 import dev.kumquatknot.app.command.StandinCommand
 import dev.kumquatknot.app.command.StatusCommand
@@ -84,6 +85,7 @@
             KeysCommand(console, connect),
             StatusCommand(console, connect),
             ProxyCommand(console),
+            NodeCommand(console),
             StandinCommand(console),
             MeasureCommand(console),
             DemoCommand(console),
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/ObjectStore.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/ObjectStore.kt
@@ -48,16 +48,19 @@
 @Serializable
 public data class ListedVm(val name: VmName, val dataCentre: DataCentre, val address: String, val state: VmState)
 
-/** The platform's service as the proxy uses it. Every call is counted by the platform, a waiting watch as one. */
-public interface ObjectStore {
+/** Single objects with conditional writes, as duties need them. Every call is counted by the platform. */
+public interface ConditionalStore {
     /** Reads an object; null where it does not exist. */
     public fun read(key: String): Either<StoreFailure, StoredObject?>
 
-    /** Reads all objects whose keys start with [prefix], ordered by key. */
-    public fun readAll(prefix: String): Either<StoreFailure, List<StoredObject>>
-
     /** Writes an object if it still has the [expected] version, and returns the new one. */
     public fun write(key: String, value: String, expected: ObjectVersion): Either<StoreFailure, StoredObject>
+}
+
+/** The platform's service as the proxy uses it. Every call is counted by the platform, a waiting watch as one. */
+public interface ObjectStore : ConditionalStore {
+    /** Reads all objects whose keys start with [prefix], ordered by key. */
+    public fun readAll(prefix: String): Either<StoreFailure, List<StoredObject>>
 
     /** Waits at most [timeout] for a version of [key] above [known]; null where none came. */
     public fun watch(key: String, known: ObjectVersion, timeout: Duration): Either<StoreFailure, StoredObject?>
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FeedReader.kt
@@ -0,0 +1,107 @@
+package dev.kumquatknot.proxy.interactive
+
+import arrow.core.Either
+import dev.kumquatknot.core.platform.FeedAnswer
+import dev.kumquatknot.core.platform.FeedChange
+import dev.kumquatknot.core.platform.ObjectFeed
+import dev.kumquatknot.core.platform.StoreFailure
+import dev.kumquatknot.core.platform.StoredObject
+import dev.kumquatknot.proxy.event.Event
+import dev.kumquatknot.proxy.event.EventLog
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Follows the objects of one [kind] in the platform's store on a thread of its own.
+ *
+ * While the store does not answer, what was read last stays in force.
+ *
+ * @param onObjects called on the reader's thread with all objects, after each change.
+ */
+public class FeedReader(
+    private val kind: String,
+    private val feed: ObjectFeed,
+    private val events: EventLog,
+    private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) },
+    private val onObjects: (Collection<StoredObject>) -> Unit,
+) {
+    private val objects = LinkedHashMap<String, StoredObject>()
+    private var failures = 0
+
+    @Volatile
+    private var stopped = false
+
+    /** Starts the thread. */
+    public fun start() {
+        Thread(::follow, "feed-$kind").apply { isDaemon = true }.start()
+    }
+
+    /** Ends the thread after its present call. */
+    public fun stop() {
+        stopped = true
+    }
+
+    private fun follow() {
+        try {
+            while (!stopped) readSnapshot()?.let(::followFrom)
+        } catch (_: InterruptedException) {
+            Thread.currentThread().interrupt()
+        }
+    }
+
+    private fun readSnapshot(): Long? = answer(feed.snapshot(kind))?.let { snapshot ->
+        objects.clear()
+        snapshot.objects.associateByTo(objects) { it.key }
+        onObjects(objects.values.toList())
+        snapshot.revision
+    }
+
+    private fun followFrom(first: Long) {
+        var revision = first
+        while (!stopped) {
+            when (val answer = answer(feed.changes(kind, revision, WATCH_TIME))) {
+                null -> Unit
+                is FeedAnswer.HistoryGone -> return
+                is FeedAnswer.Changed -> {
+                    revision = answer.revision
+                    answer.changes.forEach(::apply)
+                    if (answer.changes.isNotEmpty()) onObjects(objects.values.toList())
+                }
+            }
+        }
+    }
+
+    private fun apply(change: FeedChange) {
+        if (change.removed) objects.remove(change.stored.key) else objects[change.stored.key] = change.stored
+    }
+
+    /** Returns the answer, or null after a pause where there is none. */
+    private fun <T> answer(result: Either<StoreFailure, T>): T? = result.fold(
+        { failure ->
+            failures++
+            if (failures == REPORTED_FAILURES) {
+                events.log(Event.STORE_UNAVAILABLE, "call" to "feed $kind", "detail" to failure.toString())
+            }
+            pause(minOf(FIRST_PAUSE * failures, LONGEST_PAUSE))
+            null
+        },
+        { value ->
+            if (failures >= REPORTED_FAILURES) events.log(Event.STORE_AVAILABLE, "call" to "feed $kind")
+            failures = 0
+            value
+        },
+    )
+
+    private companion object {
+        /** Bounds the time for which a connection that went silent hides changes. */
+        val WATCH_TIME = 2.seconds
+        val FIRST_PAUSE = 100.milliseconds
+
+        /** Well below the times within which changes must be in force. */
+        val LONGEST_PAUSE = 500.milliseconds
+
+        /** A single failure is ordinary, for example a watch that was cut off. */
+        const val REPORTED_FAILURES = 2
+    }
+}
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -0,0 +1,182 @@
+package dev.kumquatknot.proxy.interactive
+
+import dev.kumquatknot.core.identity.DataCentre
+import dev.kumquatknot.core.identity.DatabaseName
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.identity.Region
+import dev.kumquatknot.core.identity.RequestId
+import dev.kumquatknot.core.interactive.DiscoveredMember
+import dev.kumquatknot.core.interactive.InteractiveConfiguration
+import dev.kumquatknot.core.interactive.RejectionCode
+import dev.kumquatknot.core.interactive.SessionReply
+import dev.kumquatknot.core.interactive.StatementResult
+import dev.kumquatknot.core.time.Clock
+import dev.kumquatknot.proxy.event.Event
+import dev.kumquatknot.proxy.event.EventLog
+import kotlin.time.Duration
+
+/**
+ * Where a VM is.
+ *
+ * @property regions region of each data centre.
+ */
+public data class VmPlace(val dataCentre: DataCentre, val regions: Map<DataCentre, Region>)
+
+/**
+ * Ports of an [InteractiveNode].
+ *
+ * @property schedule runs tasks on the event loop that calls the node.
+ */
+public class InteractivePorts(
+    public val clock: Clock,
+    public val schedule: Schedule,
+    public val openLink: OpenMemberLink,
+    public val events: EventLog,
+)
+
+/** Result of opening a session. */
+public sealed interface SessionOpening {
+    /** The session is open. */
+    public data class Opened(val session: InteractiveSession) : SessionOpening
+
+    /** It is not; [code] says why. */
+    public data class Rejected(val code: RejectionCode, val detail: String) : SessionOpening
+}
+
+/**
+ * Serves interactive sessions: keeps the configuration in force, the members that discovery names, and the sessions.
+ *
+ * All of it runs on one event loop, which calls it and which it schedules on; nothing in it blocks.
+ */
+public class InteractiveNode(
+    private val place: VmPlace,
+    ports: InteractivePorts,
+    limits: InteractiveLimits = InteractiveLimits(),
+) {
+    private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
+    private val groups = LinkedHashMap<DatabaseName, GroupLanes>()
+    private val observer = GroupObserver(environment)
+    private val sessions = LinkedHashSet<InteractiveSession>()
+    private val services = SessionServices(
+        environment = environment,
+        route = { configuration.routes[it] },
+        group = ::group,
+        transactionIdle = { configuration.transactionIdle },
+        onAnswer = ::logAnswer,
+        onReply = { if (closing && it.isIdle) it.close() },
+        onEnd = { sessions.remove(it) },
+    )
+    private var members: List<DiscoveredMember>? = null
+    private var closing = false
+
+    /** The configuration in force. */
+    public var configuration: InteractiveConfiguration = InteractiveConfiguration.NONE
+        private set
+
+    /** Whether the node knows what to serve and with what, and is not leaving. */
+    public val isReady: Boolean get() = configuration.number > 0 && members != null && !leaving
+
+    /** Whether the node has begun to leave. */
+    public var leaving: Boolean = false
+        private set
+
+    /** Number of open sessions. */
+    public val openSessions: Int get() = sessions.size
+
+    internal val groupLanes: Collection<GroupLanes> get() = groups.values
+
+    internal val nodeEnvironment: NodeEnvironment get() = environment
+
+    /** Whether every member is asked about itself all the time, as whoever decides failovers needs. */
+    public var observesAll: Boolean = false
+
+    /** Starts the periodic work. */
+    public fun start() {
+        repeatEvery(environment.limits.maintenance) { groups.values.forEach { it.maintain() } }
+        repeatEvery(environment.limits.observation) { groups.values.forEach { observer.observe(it, observesAll) } }
+    }
+
+    /** Puts [next] in force if its number is higher than that of the current one. */
+    public fun configure(next: InteractiveConfiguration) {
+        if (next.number <= configuration.number) return
+        val previous = configuration.number
+        configuration = next
+        next.connections.keys.forEach(::group)
+        spreadMembers()
+        environment.events.log(
+            Event.CONFIGURATION_ACCEPTED,
+            "number" to next.number,
+            "previous" to previous,
+            "routes" to next.routes.size,
+        )
+    }
+
+    /** Takes over the members that discovery names now. */
+    public fun discovered(next: List<DiscoveredMember>) {
+        members = next
+        spreadMembers()
+    }
+
+    /** Opens a session on [database] for the caller at [peer]. */
+    public fun open(database: String, peer: SessionPeer): SessionOpening {
+        if (database !in configuration.routes) {
+            return SessionOpening.Rejected(RejectionCode.UNKNOWN_DATABASE, "no database is called $database")
+        }
+        val session = InteractiveSession(database, peer, services)
+        sessions += session
+        return SessionOpening.Opened(session)
+    }
+
+    /** Forgets what depends on how much time has passed, as this VM may have been suspended. */
+    public fun suspended() {
+        groups.values.forEach { it.forgetProofs() }
+    }
+
+    /** Takes this VM out of service; sessions go on. */
+    public fun leave() {
+        leaving = true
+    }
+
+    /** Closes idle sessions now and the others as soon as they are idle. */
+    public fun closeIdleSessions() {
+        closing = true
+        sessions.toList().filter { it.isIdle }.forEach { it.close() }
+    }
+
+    /** Rolls back the transactions that are still open. */
+    public fun interruptTransactions() {
+        sessions.toList().filter { !it.isServing }.forEach { it.interruptTransaction() }
+    }
+
+    private fun group(name: DatabaseName): GroupLanes = groups.getOrPut(name) {
+        GroupLanes(name, environment, ::isRemote) { configuration.connections[name] ?: 0 }
+            .also { it.discovered(members.orEmpty().filter { member -> member.group == name }) }
+    }
+
+    private fun spreadMembers() {
+        val known = members ?: return
+        val byGroup = known.groupBy { it.group }
+        groups.forEach { (name, group) -> group.discovered(byGroup[name].orEmpty()) }
+    }
+
+    private fun isRemote(member: DiscoveredMember): Boolean =
+        place.regions[member.dataCentre] != place.regions[place.dataCentre]
+
+    private fun repeatEvery(interval: Duration, task: () -> Unit) {
+        environment.schedule(interval) {
+            task()
+            repeatEvery(interval, task)
+        }
+    }
+
+    private fun logAnswer(request: RequestId, reply: SessionReply, member: MemberName?) {
+        val rejection = reply.result as? StatementResult.Rejected ?: return
+        environment.events.log(
+            Event.STATEMENT_REJECTED,
+            "request" to request.value,
+            "code" to rejection.code.name,
+            "detail" to rejection.detail,
+            "member" to member?.value,
+        )
+    }
+}
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/NodeEnvironment.kt
@@ -0,0 +1,21 @@
+package dev.kumquatknot.proxy.interactive
+
+import dev.kumquatknot.core.time.Clock
+import dev.kumquatknot.proxy.event.EventLog
+import kotlin.time.Duration
+
+/**
+ * What the parts of an [InteractiveNode] share. All of them run on one event loop, so their tables need no lock.
+ *
+ * @property schedule runs a task on that loop.
+ * @property openLink opens connections to members.
+ */
+internal class NodeEnvironment(
+    val clock: Clock,
+    val schedule: Schedule,
+    val openLink: OpenMemberLink,
+    val events: EventLog,
+    val limits: InteractiveLimits,
+) {
+    fun now(): Duration = clock.elapsed()
+}
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/Ports.kt
@@ -0,0 +1,60 @@
+package dev.kumquatknot.proxy.interactive
+
+import dev.kumquatknot.core.databasegroup.HistoryPoint
+import dev.kumquatknot.core.interactive.DiscoveredMember
+import dev.kumquatknot.core.interactive.MemberCommand
+import dev.kumquatknot.core.interactive.MemberReply
+import dev.kumquatknot.core.interactive.RejectionCode
+import dev.kumquatknot.core.interactive.SessionReply
+import kotlin.time.Duration
+
+/** Takes a scheduled task back; without effect once it has run. */
+public typealias Cancel = () -> Unit
+
+/** Runs a task on the node's event loop after a delay. */
+public typealias Schedule = (delay: Duration, task: () -> Unit) -> Cancel
+
+/** A connection to a member; used on the node's event loop only. */
+public interface MemberLink {
+    /** Sends [commands] together; each is answered by one [MemberLinkEvents.replied]. */
+    public fun send(commands: List<MemberCommand>)
+
+    /** Closes the connection, which ends whatever it is doing. */
+    public fun close()
+}
+
+/** What happens on a [MemberLink]; called on the node's event loop. */
+public interface MemberLinkEvents {
+    /** The member accepted the connection; its log ends at [point]. */
+    public fun opened(point: HistoryPoint?)
+
+    /** The member answered the oldest open command. */
+    public fun replied(reply: MemberReply)
+
+    /** The connection has ended or never came to be. Called once. */
+    public fun closed(end: LinkEnd)
+}
+
+/** How a connection to a member ended. */
+public sealed interface LinkEnd {
+    /** The member turned the connection away. */
+    public data class Rejected(val code: RejectionCode, val detail: String) : LinkEnd
+
+    /** Nothing listens at the member's address. */
+    public data class Refused(val detail: String) : LinkEnd
+
+    /** It was reset, closed, or silent for too long. */
+    public data class Broken(val detail: String) : LinkEnd
+}
+
+/** Opens a connection to a member. */
+public typealias OpenMemberLink = (member: DiscoveredMember, events: MemberLinkEvents) -> MemberLink
+
+/** The caller's end of a session; used on the node's event loop only. */
+public interface SessionPeer {
+    /** Sends the reply to the oldest open statement. */
+    public fun reply(reply: SessionReply)
+
+    /** Closes the connection after what was sent. */
+    public fun close()
+}
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -0,0 +1,147 @@
+package dev.kumquatknot.proxy.interactive
+
+import dev.kumquatknot.core.databasegroup.HistoryPoint
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.interactive.MemberCommand
+import dev.kumquatknot.core.interactive.MemberReply
+import dev.kumquatknot.core.interactive.ReadConsistency
+import dev.kumquatknot.core.interactive.RejectionCode
+import dev.kumquatknot.core.interactive.SessionReply
+import dev.kumquatknot.core.interactive.StatementAccess
+import dev.kumquatknot.core.interactive.StatementResult
+import dev.kumquatknot.core.interactive.TransactionState
+import kotlin.time.Duration
+
+/** How a statement outside a transaction ended; [written] is the point of its commit, where it wrote. */
+internal data class SingleOutcome(val reply: SessionReply, val written: HistoryPoint?, val member: MemberName?)
+
+/**
+ * Runs one statement outside a transaction: chooses a member, waits for a slot there, and goes on to another member
+ * where the statement surely did not run, or only reads.
+ */
+internal class SingleStatement(
+    private val call: StatementCall,
+    private val group: GroupLanes,
+    private val environment: NodeEnvironment,
+    private val done: (SingleOutcome) -> Unit,
+) {
+    private val tried = HashSet<MemberName>()
+    private var attempts = 0
+    private var lastCode = RejectionCode.BUSY
+
+    fun start() {
+        val required = if (isFlexible) group.required(call.route, call.own) else null
+        val lane = required?.let { group.reader(it, tried) } ?: group.primary()
+        when {
+            lane == null -> fail(lastCode, "no member of ${call.route.group} can run the statement")
+            attempts >= environment.limits.attempts -> fail(lastCode, "rejected by ${tried.joinToString()}")
+            else -> offer(lane, required)
+        }
+    }
+
+    private val isFlexible: Boolean
+        get() = call.access == StatementAccess.READ && call.route.consistency != ReadConsistency.CURRENT
+
+    private fun offer(lane: MemberLane, required: HistoryPoint?) {
+        attempts++
+        lane.submit(
+            LaneWork(
+                item = call.workItem(),
+                granted = { link, slot -> prepare(lane, link, slot, required) },
+                refused = { refusal -> fail(RejectionCode.BUSY, "member ${lane.member.name}: $refusal") },
+            ),
+        )
+    }
+
+    private fun prepare(lane: MemberLane, link: PooledLink, slot: LaneSlot, required: HistoryPoint?) {
+        link.prepareFor(call.values, call.plan, environment.limits.settling) { ready ->
+            if (ready) {
+                run(lane, link, slot, required)
+            } else {
+                link.close()
+                slot.end(ran = false, answered = false)
+                again(lane, RejectionCode.BUSY)
+            }
+        }
+    }
+
+    private fun run(lane: MemberLane, link: PooledLink, slot: LaneSlot, required: HistoryPoint?) {
+        val leads = lane.member.name == group.belief.primary
+        val provesLead = call.access == StatementAccess.READ && (leads || required == null)
+        val commands = if (provesLead) {
+            listOf(call.command(null), MemberCommand.Begin(readOnly = false), MemberCommand.Rollback)
+        } else {
+            listOf(call.command(required.takeIf { call.access == StatementAccess.READ }))
+        }
+        val left = call.deadline - environment.now()
+        if (!left.isPositive()) {
+            lane.putBack(link)
+            slot.end(ran = false, answered = true)
+            return fail(RejectionCode.BUSY, "no time was left when a connection came")
+        }
+        val timeout = if (call.access == StatementAccess.READ) attemptTime(left) else left
+        link.run(commands, timeout) { result -> ended(lane, link, slot, result, provesLead) }
+    }
+
+    private fun attemptTime(left: Duration): Duration =
+        if (attempts < environment.limits.attempts) {
+            maxOf(left * environment.limits.readAttemptPart, LEAST_ATTEMPT).coerceAtMost(left)
+        } else {
+            left
+        }
+
+    private fun ended(lane: MemberLane, link: PooledLink, slot: LaneSlot, result: BatchResult, provesLead: Boolean) {
+        when (result) {
+            is BatchResult.Answered -> {
+                if (result.replies.last().state == TransactionState.IDLE) lane.putBack(link) else link.close()
+                slot.end(ran = true, answered = true)
+                answered(lane, result.replies, provesLead)
+            }
+
+            is BatchResult.Broken -> {
+                slot.end(ran = true, answered = false)
+                if (call.access == StatementAccess.WRITE) {
+                    fail(RejectionCode.IN_DOUBT, "member ${lane.member.name}: ${result.end}")
+                } else {
+                    again(lane, if (environment.now() < call.deadline) RejectionCode.ABORTED else RejectionCode.TIMED_OUT)
+                }
+            }
+        }
+    }
+
+    private fun answered(lane: MemberLane, replies: List<MemberReply>, provesLead: Boolean) {
+        val reply = replies.first()
+        val code = reply.rejection
+        when {
+            code != null && mayRepeat(code, call.access) -> again(lane, code)
+            code == null && provesLead && !replies[1].isCompleted -> again(lane, RejectionCode.READ_ONLY)
+            else -> finish(lane, reply)
+        }
+    }
+
+    private fun finish(lane: MemberLane, reply: MemberReply) {
+        val written = reply.point.takeIf { call.access == StatementAccess.WRITE && reply.isCompleted }
+        done(SingleOutcome(SessionReply(reply.rows, reply.result, TransactionState.IDLE), written, lane.member.name))
+    }
+
+    private fun again(lane: MemberLane, code: RejectionCode) {
+        lastCode = code
+        tried += lane.member.name
+        when {
+            code == RejectionCode.TIMED_OUT -> fail(code, "no answer from ${tried.joinToString()} in time")
+            code == RejectionCode.BUSY || code == RejectionCode.READ_ONLY ->
+                environment.schedule(environment.limits.retryPause) { start() }
+            else -> start()
+        }
+    }
+
+    private fun fail(code: RejectionCode, detail: String) {
+        val result = StatementResult.Rejected(code, detail)
+        done(SingleOutcome(SessionReply(emptyList(), result, TransactionState.IDLE), null, tried.lastOrNull()))
+    }
+
+    private companion object {
+        /** Below this a slow answer would be taken for a lost one. */
+        val LEAST_ATTEMPT = InteractiveLimits().report
+    }
+}
