--- a/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/command/NodeCommand.kt
+++ b/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/command/NodeCommand.kt
@@ -1,27 +1,36 @@
 package dev.kumquatknot.app.command
 
+import arrow.core.Either
 import dev.kumquatknot.app.Console
 import dev.kumquatknot.app.ExitCode
 import dev.kumquatknot.platform.PlatformNode
 import dev.kumquatknot.platform.PlatformSettings
+import kotlinx.cli.ArgType
+import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** Runs one node on the users' platform, whose settings file the environment names. */
 internal class NodeCommand(
     private val console: Console,
     private val environment: (String) -> String? = System::getenv,
 ) : Command("node", "Run one node on the users' platform until the process is ended") {
-    override fun run(): ExitCode {
-        val path = environment(PlatformSettings.PATH_VARIABLE) ?: PlatformSettings.DEFAULT_PATH
-        return PlatformSettings.read(Path.of(path)).fold(
+    private val exitAfter by option(ArgType.Int, "exit-after", description = "end after so many seconds, for trials")
+
+    override fun run(): ExitCode =
+        read().fold(
             { problem ->
                 console.fail("settings, local: $problem")
                 ExitCode.BAD_DATA
             },
             ::serve,
         )
-    }
+
+    private fun read(): Either<String, PlatformSettings> =
+        PlatformSettings.read(Path.of(environment(PlatformSettings.PATH_VARIABLE) ?: PlatformSettings.DEFAULT_PATH))
+
+    private fun reload(node: PlatformNode) = node.reload(read())
 
     private fun serve(settings: PlatformSettings): ExitCode {
         val node = PlatformNode(settings)
@@ -32,8 +41,10 @@
                 ended.countDown()
             },
         )
+        Signal.handle(Signal("HUP")) { reload(node) }
         node.start()
-        ended.await()
+        val limit = exitAfter
+        if (limit == null) ended.await() else ended.await(limit.toLong(), TimeUnit.SECONDS)
         return ExitCode.OK
     }
 }
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
@@ -57,8 +57,13 @@
         ordered = null
     }
 
-    /** Returns the order to give at [now], or null. [primary] is the member believed to lead, [proved] whether surely. */
-    public fun decide(members: List<MemberFacts>, primary: MemberName?, proved: Boolean, now: Duration): FailoverOrder? {
+    /** Returns the order to give at [now], or null; [proved] tells whether [primary] surely leads. */
+    public fun decide(
+        members: List<MemberFacts>,
+        primary: MemberName?,
+        proved: Boolean,
+        now: Duration,
+    ): FailoverOrder? {
         if (ordered != null && ordered == primary && proved) ordered = null
         if (ordered != null && now - orderedAt < timing.orderPatience) return null
         val reason = reasonFor(members.firstOrNull { it.name == primary }, proved, now) ?: return null
@@ -70,17 +75,20 @@
     }
 
     private fun reasonFor(primary: MemberFacts?, proved: Boolean, now: Duration): FailoverReason? {
-        if (primary != null && proved) withoutPrimarySince = null
         if (primary == null) {
             val since = withoutPrimarySince ?: now.also { withoutPrimarySince = it }
             return FailoverReason.NO_PRIMARY.takeIf { now - since > timing.withoutPrimary }
         }
-        val failingFor = primary.failingSince?.let { now - it } ?: Duration.ZERO
+        if (proved) withoutPrimarySince = null
+        return if (primary.leaving) FailoverReason.PRIMARY_LEAVING else lossOf(primary, now)
+    }
+
+    private fun lossOf(primary: MemberFacts, now: Duration): FailoverReason? {
+        val failingFor = primary.failingSince?.let { now - it } ?: return null
         return when {
-            primary.leaving -> FailoverReason.PRIMARY_LEAVING
-            primary.refusing && primary.failures >= LEAST_FAILURES && failingFor > timing.refusing ->
-                FailoverReason.PRIMARY_REFUSING
-            primary.failures >= LEAST_FAILURES && failingFor > timing.silent -> FailoverReason.PRIMARY_SILENT
+            primary.failures < LEAST_FAILURES -> null
+            primary.refusing && failingFor > timing.refusing -> FailoverReason.PRIMARY_REFUSING
+            failingFor > timing.silent -> FailoverReason.PRIMARY_SILENT
             else -> null
         }
     }
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FreshnessProofs.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FreshnessProofs.kt
@@ -29,6 +29,17 @@
         while (proofs.size > 1 && askedAt - proofs.first().askedAt > KEPT) proofs.removeFirst()
     }
 
+    /**
+     * Notes that another member leads, and that it was at [point] when it answered a question sent at [askedAt]. What
+     * the former primary had beyond that was rolled back, and no member will reach it.
+     */
+    public fun leadChanged(point: HistoryPoint, askedAt: Duration) {
+        val kept = proofs.map { it.copy(point = minOf(it.point, point)) }.filter { it.askedAt < askedAt }
+        proofs.clear()
+        proofs += kept
+        proofs.addLast(Proof(point, askedAt))
+    }
+
     /** Returns the lowest point that no data older than [maximumAge] at [now] can be at; null where none is proved. */
     public fun required(now: Duration, maximumAge: Duration): HistoryPoint? =
         proofs.firstOrNull { now - it.askedAt <= maximumAge }?.point
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PrimaryBelief.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PrimaryBelief.kt
@@ -1,43 +1,39 @@
 package dev.kumquatknot.core.databasegroup
 
 import dev.kumquatknot.core.identity.MemberName
+import kotlin.time.Duration
 
 /**
  * Which member of one group leads, as far as this VM knows. Only what a member proved counts as knowledge; what members
- * claim in discovery is a hint for the time without any.
+ * claim in discovery is a hint for the time without any. Of two proofs the one that was asked for later counts.
  *
  * Confined to one thread.
  */
 public class PrimaryBelief {
-    private var proved: Lead? = null
+    private var proved: MemberName? = null
+    private var decidedAt = -Duration.INFINITE
     private var claimed: MemberName? = null
+    private var last: MemberName? = null
 
     /** The member to send writes to; null where there is no sign of one. */
-    public val primary: MemberName? get() = proved?.member ?: claimed
-
-    /** Highest term in which a lead was proved. */
-    public val term: Term get() = highest
-
-    private var highest = Term(0)
+    public val primary: MemberName? get() = proved ?: claimed
 
     /** Whether the lead of [primary] was proved and not disproved since. */
     public val isProved: Boolean get() = proved != null
 
-    /** Notes that [member] acted as primary in [term]; tells whether that changed the belief. */
-    public fun prove(member: MemberName, term: Term): Boolean {
-        if (term < highest) return false
-        val next = Lead(member, term)
-        if (proved == next) return false
-        highest = term
-        val changed = proved?.member != member
-        proved = next
-        return changed
+    /** Notes that [member] acted as primary when asked at [askedAt]; tells whether another one led before. */
+    public fun prove(member: MemberName, askedAt: Duration): Boolean {
+        if (proved != member && askedAt < decidedAt) return false
+        decidedAt = maxOf(decidedAt, askedAt)
+        proved = member
+        return (last != member).also { last = member }
     }
 
-    /** Notes that [member] refused to act as primary; tells whether that changed the belief. */
-    public fun disprove(member: MemberName): Boolean {
+    /** Notes that [member] refused to act as primary when asked at [askedAt]; tells whether that changed the belief. */
+    public fun disprove(member: MemberName, askedAt: Duration): Boolean {
         if (claimed == member) claimed = null
-        if (proved?.member != member) return false
+        if (proved != member || askedAt < decidedAt) return false
+        decidedAt = askedAt
         proved = null
         return true
     }
@@ -46,6 +42,4 @@
     public fun claim(member: MemberName?) {
         claimed = member
     }
-
-    private data class Lead(val member: MemberName, val term: Term)
 }
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/duty/DutyLease.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/duty/DutyLease.kt
@@ -61,10 +61,9 @@
         heldUntil = if (record.holder == self) sentAt + validity * HELD_PART else null
     }
 
-    /** Notes that another process changed the record. */
-    public fun lost() {
-        heldUntil = null
-    }
+    /** Returns the record that renews the duty; null where this process does not hold it as far as it knows. */
+    public fun renewed(): DutyRecord? =
+        seen?.takeIf { it.holder == self }?.let { it.copy(renewal = it.renewal + 1) }
 
     /** Returns the fencing token while this process may act, and null otherwise. */
     public fun tokenAt(now: Duration): Long? = token.takeIf { heldUntil?.let { until -> now < until } ?: false }
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/ObjectStore.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/ObjectStore.kt
@@ -53,6 +53,9 @@
     /** Reads an object; null where it does not exist. */
     public fun read(key: String): Either<StoreFailure, StoredObject?>
 
+    /** Reads an object as it was at most some seconds ago, which may be cheaper; null where it did not exist. */
+    public fun readStale(key: String): Either<StoreFailure, StoredObject?> = read(key)
+
     /** Writes an object if it still has the [expected] version, and returns the new one. */
     public fun write(key: String, value: String, expected: ObjectVersion): Either<StoreFailure, StoredObject>
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
@@ -13,6 +13,8 @@
     NODE_STOPPING(101, Level.INFO, "The node is stopping and takes no new work"),
     NODE_STOPPED(102, Level.INFO, "The node has stopped"),
     NODE_STOP_FORCED(103, Level.WARN, "The time for a graceful stop has passed with requests in flight"),
+    SETTINGS_RELOADED(104, Level.INFO, "The settings were read again"),
+    SETTINGS_REFUSED(105, Level.WARN, "The settings could not be read again; those in force stay"),
     CONFIGURATION_ACCEPTED(200, Level.INFO, "A configuration is in force"),
     CONFIGURATION_REFUSED(201, Level.WARN, "A configuration was refused; the last one stays in force"),
     STORE_UNAVAILABLE(210, Level.WARN, "The platform's object API does not answer"),
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/DutyKeeper.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/DutyKeeper.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import arrow.core.Either
 import dev.kumquatknot.core.duty.DutyLease
 import dev.kumquatknot.core.duty.DutyRecord
 import dev.kumquatknot.core.duty.LeaseStep
@@ -61,21 +62,28 @@
     }
 
     private fun look() {
-        store.read(key).fold(
-            { if (heldToken == null) noteChange() },
-            { stored ->
-                version = stored?.version ?: ObjectVersion.ABSENT
-                val step = lease.observe(stored?.let(::decode), clock.elapsed())
-                if (step is LeaseStep.Write) write(step.record)
-                noteChange()
-            },
-        )
+        val renewed = lease.renewed()
+        if (renewed != null) write(renewed) else observe(store::readStale)
+    }
+
+    /** Looks at the record; before this process takes it over it reads the record as it is now. */
+    private fun observe(read: (String) -> Either<StoreFailure, StoredObject?>) {
+        val stored = read(key).fold({ return noteChange() }, { it })
+        val step = lease.observe(stored?.let(::decode), clock.elapsed())
+        if (step is LeaseStep.Write) {
+            store.read(key).onRight { current ->
+                version = current?.version ?: ObjectVersion.ABSENT
+                val confirmed = lease.observe(current?.let(::decode), clock.elapsed())
+                if (confirmed is LeaseStep.Write) write(confirmed.record)
+            }
+        }
+        noteChange()
     }
 
     private fun write(record: DutyRecord) {
         val sentAt = clock.elapsed()
         store.write(key, Json.encodeToString(DutyRecord.serializer(), record), version).fold(
-            { failure -> if (failure is StoreFailure.Conflict) lease.lost() },
+            { failure -> refused(failure) },
             { stored ->
                 version = stored.version
                 lease.written(record, sentAt)
@@ -84,6 +92,13 @@
         noteChange()
     }
 
+    /** A lost answer may have taken effect; then the next write finds its own record under another version. */
+    private fun refused(failure: StoreFailure) {
+        val current = (failure as? StoreFailure.Conflict)?.current ?: return
+        version = current.version
+        lease.observe(decode(current), clock.elapsed())
+    }
+
     private fun noteChange() {
         val now = clock.elapsed()
         val value = lease.tokenAt(now)
@@ -104,9 +119,9 @@
 
     private companion object {
         /** Time without a renewal after which another VM takes over. */
-        val VALIDITY = 2_500.milliseconds
+        val VALIDITY = 3_000.milliseconds
 
         /** Three renewals fit into the validity. */
-        val INTERVAL = 700.milliseconds
+        val INTERVAL = 900.milliseconds
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FeedReader.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FeedReader.kt
@@ -95,7 +95,7 @@
 
     private companion object {
         /** Bounds the time for which a connection that went silent hides changes. */
-        val WATCH_TIME = 2.seconds
+        val WATCH_TIME = 3.seconds
         val FIRST_PAUSE = 100.milliseconds
 
         /** Well below the times within which changes must be in force. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
@@ -55,10 +55,13 @@
     /** Drops members that discovery has not named for a while, and tends to the other lanes. */
     fun maintain() {
         val now = environment.now()
-        val gone = lanes.values.filter { lane -> lane.missingSince?.let { now - it > environment.limits.goneAfter } ?: false }
+        val gone = lanes.values.filter { lane ->
+            lane.missingSince?.let { now - it > environment.limits.goneAfter }
+                ?: false
+        }
         gone.forEach { lane ->
             lanes.remove(lane.member.name)
-            belief.disprove(lane.member.name)
+            belief.disprove(lane.member.name, now)
             logMember(Event.MEMBER_GONE, lane.member)
             lane.close()
         }
@@ -108,15 +111,19 @@
         reply.report?.let { report ->
             lane.health.reported(report, environment.now())
             lane.counted(report.connections)
-            if (!report.primary && belief.disprove(name)) logBelief(Event.PRIMARY_DISPROVED, lane, sentAt)
+            if (!report.primary && belief.disprove(name, sentAt)) logBelief(Event.PRIMARY_DISPROVED, lane, sentAt)
         }
         if (reply.rejection == RejectionCode.READ_ONLY) {
-            if (belief.disprove(name)) logBelief(Event.PRIMARY_DISPROVED, lane, sentAt)
+            if (belief.disprove(name, sentAt)) logBelief(Event.PRIMARY_DISPROVED, lane, sentAt)
             return
         }
         if (!reply.isCompleted || point == null || !provesLead(command, reply)) return
-        proofs.note(point, sentAt)
-        if (belief.prove(name, point.term)) logBelief(Event.PRIMARY_PROVED, lane, sentAt)
+        if (belief.prove(name, sentAt)) {
+            proofs.leadChanged(point, sentAt)
+            logBelief(Event.PRIMARY_PROVED, lane, sentAt)
+        } else if (belief.primary == name) {
+            proofs.note(point, sentAt)
+        }
     }
 
     private fun provesLead(command: MemberCommand, reply: MemberReply): Boolean = when (command) {
@@ -142,7 +149,6 @@
         event,
         "group" to group.value,
         "member" to lane.member.name.value,
-        "term" to belief.term.value,
         "point" to lane.health.point?.toString(),
         "evidenceAgeMs" to (environment.now() - sentAt).inWholeMilliseconds,
     )
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
@@ -24,6 +24,8 @@
  * @property goneAfter time for which a member stays known after discovery lost it; entries that lapsed while the store
  * was away return within two seconds.
  * @property leavingWrites time for which a leaving primary still gets writes while another one takes over.
+ * @property firstConfiguration time that a new session waits for a node that has just started; callers give up after
+ * 2 s.
  * @property maintenance interval of the clean-up of connections and queues.
  */
 public data class InteractiveLimits(
@@ -38,9 +40,10 @@
     val attempts: Int = 4,
     val readAttemptPart: Double = 0.5,
     val stalenessMargin: Duration = 150.milliseconds,
-    val observation: Duration = 300.milliseconds,
+    val observation: Duration = 250.milliseconds,
     val retryPause: Duration = 20.milliseconds,
     val goneAfter: Duration = 2_500.milliseconds,
     val leavingWrites: Duration = 5.seconds,
+    val firstConfiguration: Duration = 1_500.milliseconds,
     val maintenance: Duration = 50.milliseconds,
 )
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -57,6 +57,7 @@
     private val groups = LinkedHashMap<DatabaseName, GroupLanes>()
     private val observer = GroupObserver(environment)
     private val sessions = LinkedHashSet<InteractiveSession>()
+    private val waitingOpenings = LinkedHashSet<WaitingOpening>()
     private val services = SessionServices(
         environment = environment,
         route = { configuration.routes[it] },
@@ -74,7 +75,7 @@
         private set
 
     /** Whether the node knows what to serve and with what, and is not leaving. */
-    public val isReady: Boolean get() = configuration.number > 0 && members != null && !leaving
+    public val isReady: Boolean get() = isInformed && !leaving
 
     /** Whether the node has begun to leave. */
     public var leaving: Boolean = false
@@ -109,22 +110,29 @@
             "previous" to previous,
             "routes" to next.routes.size,
         )
+        openWaiting()
     }
 
     /** Takes over the members that discovery names now. */
     public fun discovered(next: List<DiscoveredMember>) {
         members = next
         spreadMembers()
+        openWaiting()
     }
 
-    /** Opens a session on [database] for the caller at [peer]. */
-    public fun open(database: String, peer: SessionPeer): SessionOpening {
-        if (database !in configuration.routes) {
-            return SessionOpening.Rejected(RejectionCode.UNKNOWN_DATABASE, "no database is called $database")
+    /**
+     * Opens a session on [database] for the caller at [peer]; [done] is called once. A node that has just started waits
+     * for its first configuration, without which it cannot tell which databases there are.
+     */
+    public fun open(database: String, peer: SessionPeer, done: (SessionOpening) -> Unit) {
+        if (isInformed) return done(openNow(database, peer))
+        val opening = WaitingOpening { done(openNow(database, peer)) }
+        waitingOpenings += opening
+        environment.schedule(environment.limits.firstConfiguration) {
+            if (waitingOpenings.remove(opening)) {
+                done(SessionOpening.Rejected(RejectionCode.BUSY, "this VM has no configuration yet"))
+            }
         }
-        val session = InteractiveSession(database, peer, services)
-        sessions += session
-        return SessionOpening.Opened(session)
     }
 
     /** Forgets what depends on how much time has passed, as this VM may have been suspended. */
@@ -148,6 +156,22 @@
         sessions.toList().filter { !it.isServing }.forEach { it.interruptTransaction() }
     }
 
+    private val isInformed: Boolean get() = configuration.number > 0 && members != null
+
+    private fun openNow(database: String, peer: SessionPeer): SessionOpening {
+        if (database !in configuration.routes) {
+            return SessionOpening.Rejected(RejectionCode.UNKNOWN_DATABASE, "no database is called $database")
+        }
+        val session = InteractiveSession(database, peer, services)
+        sessions += session
+        return SessionOpening.Opened(session)
+    }
+
+    private fun openWaiting() {
+        if (!isInformed) return
+        waitingOpenings.toList().also { waitingOpenings.clear() }.forEach { it.open() }
+    }
+
     private fun group(name: DatabaseName): GroupLanes = groups.getOrPut(name) {
         GroupLanes(name, environment, ::isRemote) { configuration.connections[name] ?: 0 }
             .also { it.discovered(members.orEmpty().filter { member -> member.group == name }) }
@@ -179,4 +203,6 @@
             "member" to member?.value,
         )
     }
+
+    private class WaitingOpening(val open: () -> Unit)
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
@@ -138,7 +138,8 @@
         if (surplus > 0) {
             idle.filter { now - it.idleSince > environment.limits.idleClose }.take(surplus).forEach { it.close() }
         }
-        if (!closed && links.isEmpty() && opening == 0 && leavingSince == null) openMore()
+        val isUnconnected = links.isEmpty() && opening == 0
+        if (isUnconnected && !closed && leavingSince == null) openMore()
     }
 
     /** Notes how many connections the member counts in all. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -91,25 +91,23 @@
         }
 
     private fun ended(lane: MemberLane, link: PooledLink, slot: LaneSlot, result: BatchResult, provesLead: Boolean) {
+        slot.end(ran = true, answered = result is BatchResult.Answered)
         when (result) {
-            is BatchResult.Answered -> {
-                if (result.replies.last().state == TransactionState.IDLE) lane.putBack(link) else link.close()
-                slot.end(ran = true, answered = true)
-                answered(lane, result.replies, provesLead)
-            }
+            is BatchResult.Answered -> answered(lane, link, result.replies, provesLead)
+            is BatchResult.Broken -> broken(lane, result)
+        }
+    }
 
-            is BatchResult.Broken -> {
-                slot.end(ran = true, answered = false)
-                if (call.access == StatementAccess.WRITE) {
-                    fail(RejectionCode.IN_DOUBT, "member ${lane.member.name}: ${result.end}")
-                } else {
-                    again(lane, if (environment.now() < call.deadline) RejectionCode.ABORTED else RejectionCode.TIMED_OUT)
-                }
-            }
+    private fun broken(lane: MemberLane, result: BatchResult.Broken) {
+        if (call.access == StatementAccess.WRITE) {
+            fail(RejectionCode.IN_DOUBT, "member ${lane.member.name}: ${result.end}")
+        } else {
+            again(lane, if (environment.now() < call.deadline) RejectionCode.ABORTED else RejectionCode.TIMED_OUT)
         }
     }
 
-    private fun answered(lane: MemberLane, replies: List<MemberReply>, provesLead: Boolean) {
+    private fun answered(lane: MemberLane, link: PooledLink, replies: List<MemberReply>, provesLead: Boolean) {
+        if (replies.last().state == TransactionState.IDLE) lane.putBack(link) else link.close()
         val reply = replies.first()
         val code = reply.rejection
         when {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
@@ -54,5 +54,8 @@
 
 /** Whether a statement that was rejected with [code] may be sent to a member again: it surely did not run. */
 internal fun mayRepeat(code: RejectionCode, access: StatementAccess): Boolean =
-    code.notRun && code != RejectionCode.MALFORMED && code != RejectionCode.TOO_LARGE ||
-        access == StatementAccess.READ && (code == RejectionCode.FAILED || code == RejectionCode.TIMED_OUT)
+    code.notRun &&
+        code != RejectionCode.MALFORMED &&
+        code != RejectionCode.TOO_LARGE ||
+        access == StatementAccess.READ &&
+        (code == RejectionCode.FAILED || code == RejectionCode.TIMED_OUT)
