--- a/kumquatknot-app/src/test/kotlin/dev/kumquatknot/app/ArchitectureSpec.kt
+++ b/kumquatknot-app/src/test/kotlin/dev/kumquatknot/app/ArchitectureSpec.kt
@@ -27,6 +27,12 @@
             forbid("proxy", "standin", "client", "app")
             forbid("client", "operations", "proxy", "standin", "app")
             forbid("standin", "app")
+            forbid("platform", "operations", "standin", "client", "app", "protocol")
+        }
+
+        @Test
+        fun `on the users' platform comes from the command line alone`() {
+            listOf("core", "protocol", "operations", "proxy", "standin", "client").forEach { forbid(it, "platform") }
         }
 
         @Test
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
@@ -41,6 +41,7 @@
     DUTY_LOST(322, Level.INFO, "This VM no longer decides failovers"),
     CONNECTION_SILENT(330, Level.WARN, "A connection was dropped because it stayed silent past its deadline"),
     TRANSACTION_ENDED(340, Level.INFO, "An interactive transaction was ended by the node"),
+    STATEMENT_ANSWERED(342, Level.INFO, "A statement was answered"),
     STATEMENT_REJECTED(341, Level.INFO, "A statement was rejected"),
     OVERLOAD_BEGAN(400, Level.WARN, "Work is refused because of overload"),
     OVERLOAD_ENDED(401, Level.INFO, "No more work is refused because of overload"),
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
@@ -12,6 +12,8 @@
  * @property report time that a member has to answer a question about itself.
  * @property settling time that session values and roll-backs have, which need no slot.
  * @property connectionWait time that admitted work waits for a connection.
+ * @property slotShare part of a member's slots that one VM fills at a time. Several VMs use a member side by side: more
+ * would put urgent statements behind others in the member's own queue.
  * @property connectionReserve connections of each member that are left to VMs that have none.
  * @property connectionShare part of a member's connections that one VM holds at most.
  * @property idleConnections connections to a member that are kept open while they are idle.
@@ -33,10 +35,11 @@
     val report: Duration = 400.milliseconds,
     val settling: Duration = 500.milliseconds,
     val connectionWait: Duration = 200.milliseconds,
+    val slotShare: Double = 0.67,
     val connectionReserve: Int = 2,
     val connectionShare: Double = 0.4,
     val idleConnections: Int = 1,
-    val idleClose: Duration = 5.seconds,
+    val idleClose: Duration = 1_500.milliseconds,
     val attempts: Int = 4,
     val readAttemptPart: Double = 0.5,
     val stalenessMargin: Duration = 150.milliseconds,
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -2,14 +2,10 @@
 
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.DatabaseName
-import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.identity.Region
-import dev.kumquatknot.core.identity.RequestId
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.InteractiveConfiguration
 import dev.kumquatknot.core.interactive.RejectionCode
-import dev.kumquatknot.core.interactive.SessionReply
-import dev.kumquatknot.core.interactive.StatementResult
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.event.EventLog
@@ -32,6 +28,7 @@
     public val schedule: Schedule,
     public val openLink: OpenMemberLink,
     public val events: EventLog,
+    public val metrics: InteractiveMetrics = InteractiveMetrics(),
 )
 
 /** Result of opening a session. */
@@ -63,7 +60,7 @@
         route = { configuration.routes[it] },
         group = ::group,
         transactionIdle = { configuration.transactionIdle },
-        onAnswer = ::logAnswer,
+        onAnswer = StatementRecorder(environment, ports.metrics)::record,
         onReply = { if (closing && it.isIdle) it.close() },
         onEnd = { sessions.remove(it) },
     )
@@ -193,16 +190,5 @@
         }
     }
 
-    private fun logAnswer(request: RequestId, reply: SessionReply, member: MemberName?) {
-        val rejection = reply.result as? StatementResult.Rejected ?: return
-        environment.events.log(
-            Event.STATEMENT_REJECTED,
-            "request" to request.value,
-            "code" to rejection.code.name,
-            "detail" to rejection.detail,
-            "member" to member?.value,
-        )
-    }
-
     private class WaitingOpening(val open: () -> Unit)
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -1,7 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.databasegroup.HistoryPoint
-import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.identity.RequestId
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.RejectionCode
@@ -115,10 +114,11 @@
 
     private fun commit(request: RequestId, statement: SessionStatement.Commit) {
         val open = transaction ?: return reject(RejectionCode.MALFORMED, "no transaction is open")
-        open.commit(call(request, open.route, StatementAccess.READ, null, statement.text)) { reply, written ->
+        val call = call(request, open.route, StatementAccess.READ, null, statement.text)
+        open.commit(call) { reply, written ->
             if (reply.state == TransactionState.IDLE) transaction = null
             written?.let(::wrote)
-            answer(request, reply, open.member)
+            answer(call, reply, open.facts)
         }
     }
 
@@ -143,14 +143,15 @@
     private fun run(request: RequestId, access: StatementAccess, plan: StatementPlan?, text: String) {
         val open = transaction
         if (open != null) {
-            open.run(call(request, open.route, access, plan, text)) { answer(request, it, open.member) }
+            val call = call(request, open.route, access, plan, text)
+            open.run(call) { answer(call, it, open.facts) }
             return
         }
         val route = route() ?: return
         val call = call(request, route, access, plan, text)
         SingleStatement(call, services.group(route.group), environment) { outcome ->
             outcome.written?.let(::wrote)
-            answer(request, outcome.reply, outcome.member)
+            answer(call, outcome.reply, outcome.facts)
         }.start()
     }
 
@@ -186,8 +187,8 @@
     private fun reject(code: RejectionCode, detail: String) =
         send(SessionReply(emptyList(), StatementResult.Rejected(code, detail), state()))
 
-    private fun answer(request: RequestId, reply: SessionReply, member: MemberName?) {
-        services.onAnswer(request, reply, member)
+    private fun answer(call: StatementCall, reply: SessionReply, facts: AnswerFacts) {
+        services.onAnswer(call, reply, facts)
         send(reply)
     }
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
@@ -10,6 +10,7 @@
 import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.core.interactive.MemberReply
 import dev.kumquatknot.core.interactive.RejectionCode
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 
 /** Why a lane did not take work, or no longer. The work did not run. */
@@ -50,7 +51,7 @@
     private val capacity: () -> Int,
     private val onReply: (MemberLane, MemberCommand, Duration, MemberReply) -> Unit,
 ) : LinkOwner {
-    private val queue = AdmissionQueue(member.slots, AdmissionPolicy())
+    private val queue = AdmissionQueue(slotsOf(member), AdmissionPolicy())
     private val waiting = HashMap<Ticket, LaneWork>()
     private val links = ArrayList<PooledLink>()
     private val idle = ArrayDeque<PooledLink>()
@@ -186,6 +187,9 @@
         if (!opened && opening == 0) seekers.toList().also { seekers.clear() }.forEach { it.take(null) }
     }
 
+    private fun slotsOf(member: DiscoveredMember): Int =
+        (member.slots * environment.limits.slotShare).roundToInt().coerceAtLeast(1)
+
     private fun connect(work: LaneWork, ticket: Ticket) {
         val slot = LaneSlot(this, ticket, environment.now())
         val link = takeIdle()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionServices.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionServices.kt
@@ -1,8 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.identity.DatabaseName
-import dev.kumquatknot.core.identity.MemberName
-import dev.kumquatknot.core.identity.RequestId
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.SessionReply
 import kotlin.time.Duration
@@ -20,7 +18,7 @@
     val route: (database: String) -> InteractiveRoute?,
     val group: (DatabaseName) -> GroupLanes,
     val transactionIdle: () -> Duration,
-    val onAnswer: (RequestId, SessionReply, MemberName?) -> Unit,
+    val onAnswer: (StatementCall, SessionReply, AnswerFacts) -> Unit,
     val onReply: (InteractiveSession) -> Unit,
     val onEnd: (InteractiveSession) -> Unit,
 )
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
@@ -24,11 +24,14 @@
 ) {
     private val tried = HashSet<MemberName>()
     private var attempts = 0
+    private var required: HistoryPoint? = null
     private var lane: MemberLane? = null
     private var link: PooledLink? = null
 
-    /** The member that runs the transaction; null before its first statement. */
-    val member: MemberName? get() = lane?.member?.name
+    /** What decided where the transaction runs. */
+    val facts: AnswerFacts get() = AnswerFacts(member, attempts, required)
+
+    private val member: MemberName? get() = lane?.member?.name
 
     /** Whether a statement has failed, so that only the end is left. */
     var failed: Boolean = false
@@ -81,8 +84,9 @@
 
     private fun begin(call: StatementCall, done: (StatementResult.Rejected?) -> Unit) {
         val flexible = readOnly && route.consistency != ReadConsistency.CURRENT
-        val required = if (flexible) group.required(route, call.own) else null
-        val chosen = required?.let { group.reader(it, tried) } ?: group.primary()
+        val needed = if (flexible) group.required(route, call.own) else null
+        required = needed
+        val chosen = needed?.let { group.reader(it, tried) } ?: group.primary()
         if (chosen == null || attempts >= environment.limits.attempts) {
             return done(StatementResult.Rejected(RejectionCode.BUSY, "no member of ${route.group} can run it"))
         }
@@ -93,7 +97,7 @@
                 granted = { open, slot ->
                     // The statements of a transaction go on without a slot of the lane; the connection bounds them.
                     slot.end(ran = false, answered = true)
-                    open(chosen, open, required, call, done)
+                    open(chosen, open, needed, call, done)
                 },
                 refused = { done(StatementResult.Rejected(RejectionCode.BUSY, "member ${chosen.member.name}: $it")) },
             ),
@@ -103,12 +107,12 @@
     private fun open(
         chosen: MemberLane,
         open: PooledLink,
-        required: HistoryPoint?,
+        needed: HistoryPoint?,
         call: StatementCall,
         done: (StatementResult.Rejected?) -> Unit,
     ) {
-        val atReplica = required != null && chosen.member.name != group.belief.primary
-        val begin = MemberCommand.Begin(readOnly = atReplica, after = required.takeIf { atReplica })
+        val atReplica = needed != null && chosen.member.name != group.belief.primary
+        val begin = MemberCommand.Begin(readOnly = atReplica, after = needed.takeIf { atReplica })
         open.run(listOf(begin), environment.limits.settling) { result ->
             val reply = (result as? BatchResult.Answered)?.replies?.first()
             if (reply != null && reply.isCompleted) {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -13,7 +13,7 @@
 import kotlin.time.Duration
 
 /** How a statement outside a transaction ended; [written] is the point of its commit, where it wrote. */
-internal data class SingleOutcome(val reply: SessionReply, val written: HistoryPoint?, val member: MemberName?)
+internal data class SingleOutcome(val reply: SessionReply, val written: HistoryPoint?, val facts: AnswerFacts)
 
 /**
  * Runs one statement outside a transaction: chooses a member, waits for a slot there, and goes on to another member
@@ -28,6 +28,7 @@
     private val tried = HashSet<MemberName>()
     private var attempts = 0
     private var lastCode = RejectionCode.BUSY
+    private var lastRequired: HistoryPoint? = null
 
     fun start() {
         val required = if (isFlexible) group.required(call.route, call.own) else null
@@ -44,6 +45,7 @@
 
     private fun offer(lane: MemberLane, required: HistoryPoint?) {
         attempts++
+        lastRequired = required
         lane.submit(
             LaneWork(
                 item = call.workItem(),
@@ -119,7 +121,13 @@
 
     private fun finish(lane: MemberLane, reply: MemberReply) {
         val written = reply.point.takeIf { call.access == StatementAccess.WRITE && reply.isCompleted }
-        done(SingleOutcome(SessionReply(reply.rows, reply.result, TransactionState.IDLE), written, lane.member.name))
+        done(
+            SingleOutcome(
+                SessionReply(reply.rows, reply.result, TransactionState.IDLE),
+                written,
+                facts(lane.member.name),
+            ),
+        )
     }
 
     private fun again(lane: MemberLane, code: RejectionCode) {
@@ -135,9 +143,11 @@
 
     private fun fail(code: RejectionCode, detail: String) {
         val result = StatementResult.Rejected(code, detail)
-        done(SingleOutcome(SessionReply(emptyList(), result, TransactionState.IDLE), null, tried.lastOrNull()))
+        done(SingleOutcome(SessionReply(emptyList(), result, TransactionState.IDLE), null, facts(tried.lastOrNull())))
     }
 
+    private fun facts(member: MemberName?) = AnswerFacts(member, attempts, lastRequired)
+
     private companion object {
         /** Below this a slow answer would be taken for a lost one. */
         val LEAST_ATTEMPT = InteractiveLimits().report
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementRecorder.kt
@@ -0,0 +1,63 @@
+package dev.kumquatknot.proxy.interactive
+
+import dev.kumquatknot.core.interactive.SessionReply
+import dev.kumquatknot.core.interactive.StatementResult
+import dev.kumquatknot.proxy.event.Event
+
+/**
+ * Logs and counts the answers to statements that were for a member. Rejections are all logged. Successes are logged up
+ * to a limit each second, and the number left out goes into the next second's first line.
+ */
+internal class StatementRecorder(
+    private val environment: NodeEnvironment,
+    private val metrics: InteractiveMetrics,
+) {
+    private var second = -1L
+    private var logged = 0
+    private var omitted = 0
+
+    fun record(call: StatementCall, reply: SessionReply, facts: AnswerFacts) {
+        val rejection = reply.result as? StatementResult.Rejected
+        metrics.statementEnded(call.route, rejection?.code, environment.now() - call.startedAt)
+        if (rejection != null) {
+            log(Event.STATEMENT_REJECTED, call, facts, rejection)
+        } else if (mayLog()) {
+            log(Event.STATEMENT_ANSWERED, call, facts, null)
+        }
+    }
+
+    private fun mayLog(): Boolean {
+        val now = environment.now().inWholeSeconds
+        if (now != second) {
+            second = now
+            logged = 0
+        }
+        val allowed = logged < MOST_SUCCESSES
+        if (allowed) logged++ else omitted++
+        return allowed
+    }
+
+    private fun log(event: Event, call: StatementCall, facts: AnswerFacts, rejection: StatementResult.Rejected?) {
+        val left = omitted
+        omitted = 0
+        environment.events.log(
+            event,
+            "request" to call.request.value,
+            "database" to call.route.name,
+            "group" to call.route.group.value,
+            "access" to call.access.name,
+            "member" to facts.member?.value,
+            "attempts" to facts.attempts,
+            "required" to facts.required?.toString(),
+            "tookMs" to (environment.now() - call.startedAt).inWholeMilliseconds,
+            "code" to rejection?.code?.name,
+            "detail" to rejection?.detail,
+            "omitted" to left.takeIf { it > 0 },
+        )
+    }
+
+    private companion object {
+        /** Lines a second for successes; some 300 bytes each, a few per cent of what the processor does for them. */
+        const val MOST_SUCCESSES = 50
+    }
+}
