Wait a short time for a primary, and look for it at once

Cause: a refusal by a member that had lost the lead left the VM without a primary until the next observation, and statements were rejected in between; found by a specification on virtual time (a write right after a promotion). Change: all members are asked as soon as the lead is disproved; statements wait up to a quarter of their target.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
@@ -23,6 +23,7 @@
     private val environment: NodeEnvironment,
     private val isRemote: (DiscoveredMember) -> Boolean,
     private val connections: () -> Int,
+    private val onPrimaryUnknown: (GroupLanes) -> Unit,
 ) {
     private val lanes = LinkedHashMap<MemberName, MemberLane>()
     private val placement = ReadPlacement()
@@ -111,10 +112,10 @@
         reply.report?.let { report ->
             lane.health.reported(report, environment.now())
             lane.counted(report.connections)
-            if (!report.primary && belief.disprove(name, sentAt)) logBelief(Event.PRIMARY_DISPROVED, lane, sentAt)
+            if (!report.primary) disprove(lane, sentAt)
         }
         if (reply.rejection == RejectionCode.READ_ONLY) {
-            if (belief.disprove(name, sentAt)) logBelief(Event.PRIMARY_DISPROVED, lane, sentAt)
+            disprove(lane, sentAt)
             return
         }
         if (!reply.isCompleted || point == null || !provesLead(command, reply)) return
@@ -126,6 +127,12 @@
         }
     }
 
+    private fun disprove(lane: MemberLane, sentAt: Duration) {
+        if (!belief.disprove(lane.member.name, sentAt)) return
+        logBelief(Event.PRIMARY_DISPROVED, lane, sentAt)
+        onPrimaryUnknown(this)
+    }
+
     private fun provesLead(command: MemberCommand, reply: MemberReply): Boolean = when (command) {
         is MemberCommand.Begin -> !command.readOnly
         is MemberCommand.Run -> command.access == StatementAccess.WRITE
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -170,10 +170,18 @@
     }
 
     private fun group(name: DatabaseName): GroupLanes = groups.getOrPut(name) {
-        GroupLanes(name, environment, ::isRemote) { configuration.connections[name] ?: 0 }
+        newGroup(name)
             .also { it.discovered(members.orEmpty().filter { member -> member.group == name }) }
     }
 
+    private fun newGroup(name: DatabaseName) = GroupLanes(
+        group = name,
+        environment = environment,
+        isRemote = ::isRemote,
+        connections = { configuration.connections[name] ?: 0 },
+        onPrimaryUnknown = { observer.observe(it, all = true) },
+    )
+
     private fun spreadMembers() {
         val known = members ?: return
         val byGroup = known.groupBy { it.group }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
@@ -87,6 +87,10 @@
         val needed = if (flexible) group.required(route, call.own) else null
         required = needed
         val chosen = needed?.let { group.reader(it, tried) } ?: group.primary()
+        if (chosen == null && environment.now() < call.waitsForPrimaryUntil) {
+            environment.schedule(environment.limits.retryPause) { begin(call, done) }
+            return
+        }
         if (chosen == null || attempts >= environment.limits.attempts) {
             return done(StatementResult.Rejected(RejectionCode.BUSY, "no member of ${route.group} can run it"))
         }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -34,6 +34,8 @@
         val required = if (isFlexible) group.required(call.route, call.own) else null
         val lane = required?.let { group.reader(it, tried) } ?: group.primary()
         when {
+            lane == null && environment.now() < call.waitsForPrimaryUntil ->
+                environment.schedule(environment.limits.retryPause) { start() }
             lane == null -> fail(lastCode, "no member of ${call.route.group} can run the statement")
             attempts >= environment.limits.attempts -> fail(lastCode, "rejected by ${tried.joinToString()}")
             else -> offer(lane, required)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
@@ -32,6 +32,9 @@
 ) {
     val deadline: Duration get() = startedAt + route.statementTimeout
 
+    /** Until when the statement waits for a primary to show up; after that its caller had better come again. */
+    val waitsForPrimaryUntil: Duration get() = startedAt + route.target * PRIMARY_WAIT_PART
+
     /** Returns the command that runs the statement at a member that has reached [after]. */
     fun command(after: HistoryPoint?): MemberCommand =
         if (plan == null) {
@@ -50,6 +53,11 @@
         target = route.target,
         deadline = deadline,
     )
+
+    private companion object {
+        /** A part that leaves time for the statement itself and for a retry elsewhere. */
+        const val PRIMARY_WAIT_PART = 0.25
+    }
 }
 
 /** Whether a statement that was rejected with [code] may be sent to a member again: it surely did not run. */
--- /dev/null
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
@@ -0,0 +1,177 @@
+package dev.kumquatknot.proxy.interactive
+
+import dev.kumquatknot.core.databasegroup.HistoryPoint
+import dev.kumquatknot.core.databasegroup.LogPosition
+import dev.kumquatknot.core.databasegroup.Term
+import dev.kumquatknot.core.identity.DataCentre
+import dev.kumquatknot.core.identity.DatabaseName
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.interactive.DiscoveredMember
+import dev.kumquatknot.core.interactive.MemberCommand
+import dev.kumquatknot.core.interactive.MemberReply
+import dev.kumquatknot.core.interactive.RejectionCode
+import dev.kumquatknot.core.interactive.ReplicationReport
+import dev.kumquatknot.core.interactive.StatementAccess
+import dev.kumquatknot.core.interactive.StatementResult
+import dev.kumquatknot.core.interactive.TransactionState
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What one statement of a caller met at a member. */
+internal data class RunRecord(
+    val member: String,
+    val request: String,
+    val values: Map<String, String>,
+    val connection: Int,
+    val state: TransactionState,
+)
+
+/** A database group in memory: three members, of which one leads; replicas apply when told to. */
+internal class FakeGroup(private val loop: VirtualLoop) {
+    val runs = ArrayList<RunRecord>()
+    val members = listOf("a", "b", "c").map { FakeMember(it, loop, this) }
+    private var connections = 0
+
+    /** Member that leads. */
+    var leader = members[0]
+
+    /** Number of commits of the leader. */
+    var commits = 0L
+    private var term = 1L
+
+    val point get() = HistoryPoint(Term(term), LogPosition(commits))
+
+    fun replicate() = members.forEach { it.applied = point }
+
+    fun promote(index: Int) {
+        leader = members[index]
+        commits = members[index].applied.position.value
+        term++
+        members[index].applied = point
+    }
+
+    fun open(member: DiscoveredMember, events: MemberLinkEvents): MemberLink {
+        val target = members.first { it.name == member.name.value }
+        return target.Link(events, connections++).also { it.start() }
+    }
+
+    fun discovered(leaving: Set<String> = emptySet()) = members.map { it.discovered(it.name in leaving) }
+
+    companion object {
+        val NAME = DatabaseName("group")
+    }
+}
+
+/** One member; its answers take a millisecond. */
+internal class FakeMember(val name: String, private val loop: VirtualLoop, private val group: FakeGroup) {
+    var applied = HistoryPoint(Term(1), LogPosition(0))
+
+    /** Statements whose answers get lost, by the request's id. */
+    val lost = HashSet<String>()
+
+    /** Rejections to give instead of running, by the request's id. */
+    val rejections = HashMap<String, RejectionCode>()
+
+    private val leads get() = group.leader === this
+    private val end get() = if (leads) group.point else applied
+
+    fun discovered(leaving: Boolean) = DiscoveredMember(
+        MemberName(name),
+        startedAtMillis = 1,
+        FakeGroup.NAME,
+        "127.0.0.1:1",
+        DataCentre(name),
+        slots = 3,
+        leaving,
+        claimsPrimary = leads,
+    )
+
+    inner class Link(private val events: MemberLinkEvents, private val number: Int) : MemberLink {
+        private val values = HashMap<String, String>()
+        private val plans = HashSet<String>()
+        private var state = TransactionState.IDLE
+        private var plain = false
+        private var wrote = false
+        private var silent = false
+        private var closed = false
+
+        fun start() {
+            loop.schedule(LATENCY) { if (!closed) events.opened(end) }
+        }
+
+        override fun send(commands: List<MemberCommand>) {
+            loop.schedule(LATENCY) { commands.forEach(::answer) }
+        }
+
+        override fun close() {
+            closed = true
+        }
+
+        private fun answer(command: MemberCommand) {
+            if (closed || silent) return
+            val result = execute(command)
+            if (silent) return
+            val report = if (command is MemberCommand.Report) report() else null
+            events.replied(MemberReply(listOf("row").takeIf { report == null }.orEmpty(), result, state, end, report))
+        }
+
+        private fun report() = ReplicationReport(leads, Term(1), end, Term(0), 1)
+
+        private fun execute(command: MemberCommand): StatementResult = when (command) {
+            is MemberCommand.Begin -> begin(command)
+            is MemberCommand.Run -> run(command.request.value, command.access, command.after)
+            is MemberCommand.Execute ->
+                if (command.name in plans) {
+                    run(command.request.value, command.access, command.after)
+                } else {
+                    rejected(RejectionCode.UNKNOWN_PLAN)
+                }
+            is MemberCommand.Commit -> commit(command)
+            is MemberCommand.Rollback -> completed().also { state = TransactionState.IDLE }
+            is MemberCommand.SetValue -> completed().also { values[command.name] = command.value }
+            is MemberCommand.Prepare -> completed().also { plans += command.name }
+            is MemberCommand.Reset -> completed().also { values.clear() }.also { plans.clear() }
+            else -> completed()
+        }
+
+        private fun begin(command: MemberCommand.Begin): StatementResult {
+            if (!command.readOnly && !leads) return rejected(RejectionCode.READ_ONLY)
+            if (command.after?.let { it > end } == true) return rejected(RejectionCode.LAGGING)
+            state = TransactionState.OPEN
+            plain = !command.readOnly
+            wrote = false
+            return completed()
+        }
+
+        private fun run(request: String, access: StatementAccess, after: HistoryPoint?): StatementResult {
+            rejections[request]?.let { return rejected(it) }
+            val needsLead = access == StatementAccess.WRITE || (state == TransactionState.OPEN && plain)
+            if (needsLead && !leads) return rejected(RejectionCode.READ_ONLY)
+            if (after != null && after > end) return rejected(RejectionCode.LAGGING)
+            group.runs += RunRecord(name, request, values.toMap(), number, state)
+            if (access == StatementAccess.WRITE) {
+                if (state == TransactionState.IDLE) group.commits++ else wrote = true
+            }
+            if (request in lost) silent = true
+            return StatementResult.Completed("signature-$request")
+        }
+
+        private fun commit(command: MemberCommand.Commit): StatementResult {
+            state = TransactionState.IDLE
+            if (wrote && !leads) return rejected(RejectionCode.READ_ONLY)
+            if (wrote) group.commits++
+            if (command.request.value in lost) silent = true
+            return StatementResult.Completed("signature-${command.request.value}")
+        }
+
+        private fun completed() = StatementResult.Completed(null)
+
+        private fun rejected(code: RejectionCode): StatementResult {
+            if (state == TransactionState.OPEN) state = TransactionState.FAILED
+            return StatementResult.Rejected(code, name)
+        }
+    }
+
+    private companion object {
+        val LATENCY = 1.milliseconds
+    }
+}
--- /dev/null
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -0,0 +1,368 @@
+package dev.kumquatknot.proxy.interactive
+
+import dev.kumquatknot.core.configuration.Rank
+import dev.kumquatknot.core.identity.DataCentre
+import dev.kumquatknot.core.identity.Region
+import dev.kumquatknot.core.identity.RequestId
+import dev.kumquatknot.core.interactive.InteractiveConfiguration
+import dev.kumquatknot.core.interactive.InteractiveRoute
+import dev.kumquatknot.core.interactive.ReadConsistency
+import dev.kumquatknot.core.interactive.RejectionCode
+import dev.kumquatknot.core.interactive.SessionReply
+import dev.kumquatknot.core.interactive.SessionStatement
+import dev.kumquatknot.core.interactive.StatementAccess
+import dev.kumquatknot.core.interactive.StatementPlan
+import dev.kumquatknot.core.interactive.StatementResult
+import dev.kumquatknot.core.interactive.TransactionState
+import dev.kumquatknot.proxy.event.EventLog
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class InteractiveNodeSpec {
+    private val loop = VirtualLoop()
+    private val group = FakeGroup(loop)
+    private val place = VmPlace(
+        DataCentre("b"),
+        listOf("a", "b", "c").associate {
+            DataCentre(it) to
+                Region("region-$it")
+        },
+    )
+    private val node = InteractiveNode(place, InteractivePorts(loop, loop::schedule, group::open, EventLog()))
+
+    private fun route(name: String, consistency: ReadConsistency) = InteractiveRoute(
+        name,
+        FakeGroup.NAME,
+        consistency,
+        800.milliseconds,
+        500.milliseconds,
+        Rank.URGENT,
+        1_500.milliseconds,
+    )
+
+    private val routes = listOf(
+        route("current", ReadConsistency.CURRENT),
+        route("bounded", ReadConsistency.BOUNDED_STALENESS),
+        route("own", ReadConsistency.READ_YOUR_WRITES),
+    ).associateBy { it.name }
+
+    private fun configuration(number: Long, names: Set<String> = routes.keys) =
+        InteractiveConfiguration(number, routes.filterKeys { it in names }, mapOf(FakeGroup.NAME to 20), 3.seconds)
+
+    private fun startNode() {
+        node.configure(configuration(1))
+        node.discovered(group.discovered())
+        node.start()
+        loop.advance(1.seconds)
+    }
+
+    private inner class Caller(database: String) : SessionPeer {
+        val replies = ArrayList<SessionReply>()
+        var opening: SessionOpening? = null
+        var closed = false
+
+        init {
+            node.open(database, this) { opening = it }
+        }
+
+        val session get() = (opening as SessionOpening.Opened).session
+
+        override fun reply(reply: SessionReply) {
+            replies += reply
+        }
+
+        override fun close() {
+            closed = true
+        }
+
+        fun send(request: String, statement: SessionStatement) = session.submit(RequestId(request), statement)
+
+        fun ask(request: String, statement: SessionStatement): SessionReply {
+            val before = replies.size
+            send(request, statement)
+            repeat(MOST_STEPS) { if (replies.size == before) loop.advance(10.milliseconds) }
+            return replies.last()
+        }
+
+        fun read(request: String) = ask(request, SessionStatement.Run(StatementAccess.READ, "READ 1"))
+
+        fun write(request: String) = ask(request, SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+    }
+
+    private fun runOf(request: String) = group.runs.filter { it.request == request }
+
+    private val SessionReply.code get() = (result as? StatementResult.Rejected)?.code
+
+    @Nested
+    inner class `a read` {
+        @Test
+        fun `with bounded staleness runs at the replica nearby`() {
+            startNode()
+            expectThat(Caller("bounded").read("r").result).isEqualTo(StatementResult.Completed("signature-r"))
+            expectThat(runOf("r").map { it.member }).containsExactly("b")
+        }
+
+        @Test
+        fun `of current data runs at the primary`() {
+            startNode()
+            Caller("current").read("r")
+            expectThat(runOf("r").map { it.member }).containsExactly("a")
+        }
+
+        @Test
+        fun `of current data is never answered by a primary that lost its lead meanwhile`() {
+            startNode()
+            group.replicate()
+            group.promote(2)
+            expectThat(Caller("current").read("r").result).isEqualTo(StatementResult.Completed("signature-r"))
+            expectThat(runOf("r").last().member).isEqualTo("c")
+        }
+
+        @Test
+        fun `after a write of its session leaves replicas that do not have it`() {
+            startNode()
+            val caller = Caller("own")
+            caller.write("w")
+            caller.read("r")
+            expectThat(runOf("r").map { it.member }).containsExactly("a")
+        }
+
+        @Test
+        fun `after a write of its session runs at a replica that has it`() {
+            startNode()
+            val caller = Caller("own")
+            caller.write("w")
+            group.replicate()
+            loop.advance(3.seconds)
+            caller.read("r")
+            expectThat(runOf("r").map { it.member }).containsExactly("b")
+        }
+
+        @Test
+        fun `whose answer is lost is answered by another member`() {
+            startNode()
+            group.members[1].lost += "r"
+            val caller = Caller("bounded")
+            caller.send("r", SessionStatement.Run(StatementAccess.READ, "READ 1"))
+            loop.advance(700.milliseconds)
+            expectThat(caller.replies.single().result).isA<StatementResult.Completed>()
+            expectThat(runOf("r").size).isEqualTo(2)
+        }
+    }
+
+    @Nested
+    inner class `a write` {
+        @Test
+        fun `runs once at the primary`() {
+            startNode()
+            Caller("own").write("w")
+            expectThat(runOf("w").map { it.member }).containsExactly("a")
+        }
+
+        @Test
+        fun `goes on to the new primary where the old one refused it`() {
+            startNode()
+            group.replicate()
+            group.promote(1)
+            expectThat(Caller("own").write("w").result).isA<StatementResult.Completed>()
+            expectThat(runOf("w").map { it.member }).containsExactly("b")
+        }
+
+        @Test
+        fun `whose answer is lost is in doubt and not sent again`() {
+            startNode()
+            group.members[0].lost += "w"
+            val caller = Caller("own")
+            caller.send("w", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(1.seconds)
+            expectThat(caller.replies.single().code).isEqualTo(RejectionCode.IN_DOUBT)
+            expectThat(runOf("w").size).isEqualTo(1)
+        }
+
+        @Test
+        fun `that failed while it ran is not sent again`() {
+            startNode()
+            group.members[0].rejections["w"] = RejectionCode.FAILED
+            expectThat(Caller("own").write("w").code).isEqualTo(RejectionCode.FAILED)
+        }
+    }
+
+    @Nested
+    inner class `a transaction` {
+        @Test
+        fun `stays on one connection, which no other session gets meanwhile`() {
+            startNode()
+            val caller = Caller("own")
+            caller.ask("b", SessionStatement.Begin(readOnly = false))
+            caller.write("w1")
+            Caller("own").write("other")
+            caller.write("w2")
+            caller.ask("c", SessionStatement.Commit("COMMIT"))
+            val connections = (runOf("w1") + runOf("w2")).map { it.connection }.toSet()
+            expectThat(connections.size).isEqualTo(1)
+            expectThat(runOf("other").single().connection).isNotEqualTo(connections.single())
+            expectThat(group.commits).isEqualTo(2)
+        }
+
+        @Test
+        fun `is rolled back where its caller leaves`() {
+            startNode()
+            val caller = Caller("own")
+            caller.ask("b", SessionStatement.Begin(readOnly = false))
+            caller.write("w")
+            caller.session.disconnected()
+            loop.advance(1.seconds)
+            expectThat(group.commits).isEqualTo(0)
+        }
+
+        @Test
+        fun `that has failed takes nothing but its end, and does not commit`() {
+            startNode()
+            group.members[0].rejections["w"] = RejectionCode.BUSY
+            val caller = Caller("own")
+            caller.ask("b", SessionStatement.Begin(readOnly = false))
+            expectThat(caller.write("w").state).isEqualTo(TransactionState.FAILED)
+            expectThat(caller.read("r").code).isEqualTo(RejectionCode.MALFORMED)
+            val end = caller.ask("c", SessionStatement.Commit("COMMIT"))
+            expectThat(end.code).isEqualTo(RejectionCode.ABORTED)
+            expectThat(end.state).isEqualTo(TransactionState.IDLE)
+        }
+
+        @Test
+        fun `whose commit gets no answer is in doubt`() {
+            startNode()
+            group.members[0].lost += "c"
+            val caller = Caller("own")
+            caller.ask("b", SessionStatement.Begin(readOnly = false))
+            caller.write("w")
+            caller.ask("c", SessionStatement.Commit("COMMIT"))
+            loop.advance(1.seconds)
+            expectThat(caller.replies.last().code).isEqualTo(RejectionCode.IN_DOUBT)
+        }
+
+        @Test
+        fun `that idles too long is rolled back and says so at its next statement`() {
+            startNode()
+            val caller = Caller("own")
+            caller.ask("b", SessionStatement.Begin(readOnly = false))
+            caller.write("w")
+            loop.advance(4.seconds)
+            expectThat(caller.write("late").code).isEqualTo(RejectionCode.ABORTED)
+            expectThat(runOf("late")).isEmpty()
+        }
+    }
+
+    @Nested
+    inner class `session values and plans` {
+        @Test
+        fun `are there wherever a statement runs, and nobody else's`() {
+            startNode()
+            val first = Caller("bounded")
+            first.ask("s", SessionStatement.SetValue("v", "1"))
+            first.read("r1")
+            Caller("bounded").read("r2")
+            first.read("r3")
+            expectThat(listOf("r1", "r2", "r3").map { runOf(it).single().values })
+                .containsExactly(mapOf("v" to "1"), emptyMap(), mapOf("v" to "1"))
+        }
+
+        @Test
+        fun `run under the caller's name whatever the connection calls them`() {
+            startNode()
+            val caller = Caller("bounded")
+            caller.ask("p", SessionStatement.Prepare("s1", StatementPlan(StatementAccess.READ, "q2c")))
+            expectThat(caller.ask("e", SessionStatement.Execute("s1", "1a4")).result).isA<StatementResult.Completed>()
+            caller.ask("d", SessionStatement.Deallocate("s1"))
+            expectThat(
+                caller.ask("f", SessionStatement.Execute("s1", "1a4")).code,
+            ).isEqualTo(RejectionCode.UNKNOWN_PLAN)
+        }
+    }
+
+    @Nested
+    inner class `a session` {
+        @Test
+        fun `waits for the first configuration of a node that has just started`() {
+            val caller = Caller("own")
+            expectThat(caller.opening).isEqualTo(null)
+            startNode()
+            expectThat(caller.opening).isA<SessionOpening.Opened>()
+        }
+
+        @Test
+        fun `is not opened on a database that does not exist`() {
+            startNode()
+            expectThat(Caller("none").opening).isA<SessionOpening.Rejected>()
+                .get { code }.isEqualTo(RejectionCode.UNKNOWN_DATABASE)
+        }
+
+        @Test
+        fun `ends with the route that it was opened on, at its next statement`() {
+            startNode()
+            val caller = Caller("own")
+            node.configure(configuration(2, setOf("bounded")))
+            expectThat(caller.read("r").code).isEqualTo(RejectionCode.UNKNOWN_DATABASE)
+            expectThat(caller.closed).isTrue()
+        }
+
+        @Test
+        fun `keeps the newest configuration when an older one comes late`() {
+            startNode()
+            node.configure(configuration(3))
+            node.configure(configuration(2, emptySet()))
+            expectThat(node.configuration.number).isEqualTo(3)
+        }
+    }
+
+    @Nested
+    inner class `a member that is leaving` {
+        @Test
+        fun `gets no new reads`() {
+            startNode()
+            node.discovered(group.discovered(leaving = setOf("b")))
+            Caller("bounded").read("r")
+            expectThat(runOf("r").single().member).isNotEqualTo("b")
+        }
+
+        @Test
+        fun `gets writes as a primary only until another one must have taken over`() {
+            startNode()
+            node.discovered(group.discovered(leaving = setOf("a")))
+            expectThat(Caller("own").write("w").result).isA<StatementResult.Completed>()
+            loop.advance(6.seconds)
+            expectThat(Caller("own").write("late").code).isEqualTo(RejectionCode.BUSY)
+        }
+    }
+
+    @Nested
+    inner class `a node that is leaving` {
+        @Test
+        fun `is not ready, closes idle sessions and lets the others end`() {
+            startNode()
+            val idle = Caller("own")
+            val busy = Caller("own")
+            busy.ask("b", SessionStatement.Begin(readOnly = false))
+            node.leave()
+            node.closeIdleSessions()
+            expectThat(node.isReady).isFalse()
+            expectThat(idle.closed).isTrue()
+            expectThat(busy.closed).isFalse()
+            busy.ask("e", SessionStatement.Rollback)
+            expectThat(busy.closed).isTrue()
+        }
+    }
+
+    private companion object {
+        const val MOST_STEPS = 100
+    }
+}
