Archive the classes of serving, open two connections to a member at a time

Cause: a node that had just started took 0.45 s from its configuration to its first answer; it read the classes of serving from the program's file, and all VMs' openings queued for the members' slots together. Change: the build loads these classes before it writes the archive; two openings to a member at a time.

--- /dev/null
+++ b/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/command/ClassPreloader.kt
@@ -0,0 +1,56 @@
+package dev.kumquatknot.app.command
+
+import java.nio.file.Path
+import java.util.jar.JarFile
+
+/**
+ * Loads the classes that a node uses once it serves, so that a class-data archive holds them. Without that a node that
+ * has just started reads them from the program's file while its first callers wait.
+ */
+internal object ClassPreloader {
+    private val prefixes = listOf(
+        "dev/kumquatknot/core/",
+        "dev/kumquatknot/platform/",
+        "dev/kumquatknot/proxy/interactive/",
+        "dev/kumquatknot/proxy/event/",
+        "dev/kumquatknot/proxy/http/",
+        "kotlinx/serialization/json/",
+        "kotlinx/serialization/internal/",
+        "kotlinx/serialization/encoding/",
+        "kotlinx/serialization/descriptors/",
+        "kotlin/time/",
+        "kotlin/collections/",
+        "kotlin/sequences/",
+        "io/netty/buffer/",
+        "io/netty/channel/",
+        "io/netty/util/",
+        "io/netty/handler/codec/string/",
+        "io/netty/handler/codec/Line",
+        "io/netty/handler/codec/http/Http",
+        "io/prometheus/metrics/core/",
+        "net/logstash/logback/",
+        "tools/jackson/core/",
+        "com/fasterxml/jackson/core/",
+    )
+
+    /** Loads what can be loaded from the program's own file and returns the number of classes. */
+    fun load(): Int {
+        val location = ClassPreloader::class.java.protectionDomain.codeSource.location
+        return JarFile(Path.of(location.toURI()).toFile()).use { jar ->
+            jar.entries().asSequence()
+                .map { it.name }
+                .filter { name -> name.endsWith(".class") && prefixes.any { name.startsWith(it) } }
+                .count { loadClass(it.removeSuffix(".class").replace('/', '.')) }
+        }
+    }
+
+    /** Optional parts of libraries refer to classes that are not there; those are left out. */
+    private fun loadClass(name: String): Boolean = try {
+        Class.forName(name, false, ClassPreloader::class.java.classLoader)
+        true
+    } catch (_: ClassNotFoundException) {
+        false
+    } catch (_: LinkageError) {
+        false
+    }
+}
--- a/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/command/NodeCommand.kt
+++ b/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/command/NodeCommand.kt
@@ -6,6 +6,7 @@
 import dev.kumquatknot.platform.PlatformNode
 import dev.kumquatknot.platform.PlatformSettings
 import kotlinx.cli.ArgType
+import kotlinx.cli.default
 import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
@@ -18,6 +19,13 @@
 ) : Command("node", "Run one node on the users' platform until the process is ended") {
     private val exitAfter by option(ArgType.Int, "exit-after", description = "end after so many seconds, for trials")
 
+    private val preload by option(
+        ArgType.Boolean,
+        "preload",
+        description = "load all classes, for the class-data archive",
+    )
+        .default(false)
+
     override fun run(): ExitCode =
         read().fold(
             { problem ->
@@ -33,6 +41,7 @@
     private fun reload(node: PlatformNode) = node.reload(read())
 
     private fun serve(settings: PlatformSettings): ExitCode {
+        if (preload) console.out("${ClassPreloader.load()} classes are loaded")
         val node = PlatformNode(settings)
         val ended = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
@@ -16,6 +16,8 @@
  * would put urgent statements behind others in the member's own queue.
  * @property connectionReserve connections of each member that are left to VMs that have none.
  * @property connectionShare part of a member's connections that one VM holds at most.
+ * @property openingsAtOnce connections to a member that one VM opens at a time. Each takes a slot of the member for its
+ * handshake, so after a loss of all VMs their openings together would keep the slots from the first statements.
  * @property idleConnections connections to a member that are kept open while they are idle.
  * @property idleClose time after which an idle connection beyond that is closed.
  * @property attempts members that one statement is sent to at most.
@@ -38,6 +40,7 @@
     val slotShare: Double = 0.67,
     val connectionReserve: Int = 2,
     val connectionShare: Double = 0.4,
+    val openingsAtOnce: Int = 2,
     val idleConnections: Int = 1,
     val idleClose: Duration = 1_500.milliseconds,
     val attempts: Int = 4,
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
@@ -164,6 +164,7 @@
         link.openingTime?.let { if (distance == Duration.ZERO || it < distance) distance = it }
         health.answered(environment.now())
         putBack(link)
+        if (seekers.isNotEmpty()) openMore()
     }
 
     override fun replied(link: PooledLink, command: MemberCommand, sentAt: Duration, reply: MemberReply) {
@@ -229,7 +230,7 @@
     }
 
     private fun openMore() {
-        val wanted = maxOf(seekers.size, 1)
+        val wanted = seekers.size.coerceIn(1, environment.limits.openingsAtOnce)
         while (!closed && opening < wanted && mayOpen()) {
             opening++
             val link = PooledLink(member, environment, this)
