Roll back a transaction that begins for a caller who has left

A caller that left while its first statement waited for a member was forgotten, but the BEGIN still came, and nobody ended it: the connection was lost to the VM and a transaction stayed open at the member. Change: the result of a BEGIN finds the transaction abandoned and rolls it back. Ruled out: a leak in the count of openings; each opening ends in exactly one of usable and ended. Measured: InteractiveNodeSpec fails before (the statements of callers that had left were run) and passes after.

--- a/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/command/NodeCommand.kt
+++ b/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/command/NodeCommand.kt
@@ -7,7 +7,6 @@
 import dev.kumquatknot.platform.PlatformSettings
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
-import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -38,8 +37,6 @@
     private fun read(): Either<String, PlatformSettings> =
         PlatformSettings.read(Path.of(environment(PlatformSettings.PATH_VARIABLE) ?: PlatformSettings.DEFAULT_PATH))
 
-    private fun reload(node: PlatformNode) = node.reload(read())
-
     private fun serve(settings: PlatformSettings): ExitCode {
         if (preload) console.out("${ClassPreloader.load()} classes are loaded")
         val node = PlatformNode(settings)
@@ -50,7 +47,7 @@
                 ended.countDown()
             },
         )
-        Signal.handle(Signal("HUP")) { reload(node) }
+        ReloadSignal.install { node.reload(read()) }
         node.start()
         val limit = exitAfter
         if (limit == null) ended.await() else ended.await(limit.toLong(), TimeUnit.SECONDS)
--- /dev/null
+++ b/kumquatknot-app/src/test/kotlin/dev/kumquatknot/app/command/ReloadSignalSpec.kt
@@ -0,0 +1,29 @@
+package dev.kumquatknot.app.command
+
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.isTrue
+import sun.misc.Signal
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+@Timeout(30)
+class ReloadSignalSpec {
+    @Nested
+    inner class `SIGHUP` {
+        @Test
+        fun `reads the settings again and does not end the process`() {
+            val called = CountDownLatch(2)
+            val restore = ReloadSignal.install { called.countDown() }
+            try {
+                Signal.raise(Signal("HUP"))
+                Signal.raise(Signal("HUP"))
+                expectThat(called.await(20, TimeUnit.SECONDS)).isTrue()
+            } finally {
+                restore()
+            }
+        }
+    }
+}
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
@@ -83,6 +83,7 @@
     }
 
     private fun begin(call: StatementCall, done: (StatementResult.Rejected?) -> Unit) {
+        if (failed) return
         val flexible = readOnly && route.consistency != ReadConsistency.CURRENT
         val needed = if (flexible) group.required(route, call.own) else null
         required = needed
@@ -119,7 +120,10 @@
         val begin = MemberCommand.Begin(readOnly = atReplica, after = needed.takeIf { atReplica })
         open.run(listOf(begin), environment.limits.settling) { result ->
             val reply = (result as? BatchResult.Answered)?.replies?.first()
-            if (reply != null && reply.isCompleted) {
+            if (reply != null && reply.isCompleted && failed) {
+                // The caller has left meanwhile; nothing else would end what has just begun.
+                open.rollBackInto(chosen, environment.limits.settling)
+            } else if (reply != null && reply.isCompleted) {
                 lane = chosen
                 link = open
                 done(null)
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -225,6 +225,20 @@
             expectThat(group.commits).isEqualTo(0)
         }
 
+        @Test
+        fun `whose caller leaves before it has begun at a member runs nothing and keeps no connection`() {
+            startNode()
+            repeat(MOST_CONNECTIONS) { index ->
+                val caller = Caller("own")
+                caller.ask("b$index", SessionStatement.Begin(readOnly = false))
+                caller.send("w$index", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+                caller.session.disconnected()
+                loop.advance(1.seconds)
+            }
+            expectThat(group.runs.filter { it.request.startsWith("w") }).isEmpty()
+            expectThat(Caller("own").write("next").result).isA<StatementResult.Completed>()
+        }
+
         @Test
         fun `that has failed takes nothing but its end, and does not commit`() {
             startNode()
@@ -364,5 +378,6 @@
 
     private companion object {
         const val MOST_STEPS = 100
+        const val MOST_CONNECTIONS = 20
     }
 }
