--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
@@ -47,6 +47,7 @@
     OVERLOAD_ENDED(401, Level.INFO, "No more work is refused because of overload"),
     OUTCOME_UNKNOWN(410, Level.WARN, "A request ended with unknown outcome"),
     REQUEST_BROKEN(411, Level.ERROR, "A request ended by an unexpected error of the node"),
+    TASK_BROKEN(412, Level.ERROR, "A task of the node ended by an unexpected error"),
     CALLER_REJECTED(420, Level.INFO, "A caller could not prove its team"),
     SERVER_LISTENING(430, Level.INFO, "A server accepts connections"),
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
@@ -31,8 +31,8 @@
     /** Starts to look at the groups. */
     public fun start() {
         environment.schedule(INTERVAL) {
-            look()
             start()
+            look()
         }
     }
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -193,8 +193,8 @@
 
     private fun repeatEvery(interval: Duration, task: () -> Unit) {
         environment.schedule(interval) {
-            task()
             repeatEvery(interval, task)
+            task()
         }
     }
 
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
@@ -127,6 +127,10 @@
                 }
             is MemberCommand.Commit -> commit(command)
             is MemberCommand.Rollback -> completed().also { state = TransactionState.IDLE }
+            else -> settle(command)
+        }
+
+        private fun settle(command: MemberCommand): StatementResult = when (command) {
             is MemberCommand.SetValue -> completed().also { values[command.name] = command.value }
             is MemberCommand.Prepare -> completed().also { plans += command.name }
             is MemberCommand.Reset -> completed().also { values.clear() }.also { plans.clear() }
