Remove parts of the interactive node that nothing uses

Cause: the suspension-aware clock made the node's own forgetting of proofs needless, and a lane's count of connections had no reader. Conclusion: no behaviour changes.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
@@ -91,11 +91,6 @@
         return placement.choose(candidates, required)?.let { lanes[it.name] }
     }
 
-    /** Forgets what depends on how much time has passed, as this VM may have been suspended. */
-    fun forgetProofs() {
-        proofs.forget()
-    }
-
     private fun candidate(lane: MemberLane, now: Duration) = ReadCandidate(
         name = lane.member.name,
         primary = lane.member.name == belief.primary,
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -132,11 +132,6 @@
         }
     }
 
-    /** Forgets what depends on how much time has passed, as this VM may have been suspended. */
-    public fun suspended() {
-        groups.values.forEach { it.forgetProofs() }
-    }
-
     /** Takes this VM out of service; sessions go on. */
     public fun leave() {
         leaving = true
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
@@ -79,8 +79,6 @@
     var distance: Duration = Duration.ZERO
         private set
 
-    val openConnections: Int get() = links.size
-
     /** Time that one more item would wait. */
     fun expectedWait(): Duration {
         val load = queue.load()
