Keep the connection of a caller that leaves while its values are set

Cause: the callback after setting session values did not look whether the transaction was still wanted. Accepted values: the statement ran for a caller that had left. Rejected values: the connection stayed in an open transaction that belonged to nobody. Change: the callback rolls back what nobody waits for. Ruled out: rolling back at once when the caller leaves, since a connection runs one batch at a time.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
@@ -48,8 +48,8 @@
                 fail(RejectionCode.READ_ONLY, "the transaction only reads", done)
             open == null -> begin(call) { problem -> if (problem == null) run(call, done) else fail(problem, done) }
             open.isClosed -> fail(RejectionCode.ABORTED, "the connection to $member has ended", done)
-            else -> open.prepareFor(call.values, call.plan, environment.limits.settling) { ready ->
-                if (ready) execute(open, call, done) else fail(RejectionCode.ABORTED, "$member took no values", done)
+            else -> open.prepareFor(call.values, call.plan, environment.limits.settling) {
+                prepared(open, it, call, done)
             }
         }
     }
@@ -135,6 +135,15 @@
         }
     }
 
+    private fun prepared(open: PooledLink, ready: Boolean, call: StatementCall, done: (SessionReply) -> Unit) {
+        when {
+            // The caller has left meanwhile; nothing else would end the transaction.
+            link !== open -> rollBack(open)
+            ready -> execute(open, call, done)
+            else -> fail(RejectionCode.ABORTED, "$member took no values", done)
+        }
+    }
+
     private fun execute(open: PooledLink, call: StatementCall, done: (SessionReply) -> Unit) {
         val left = (call.deadline - environment.now()).coerceAtLeast(environment.limits.retryPause)
         open.run(listOf(call.command(null)), left) { result ->
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
@@ -34,6 +34,9 @@
     /** Member that leads. */
     var leader = members[0]
 
+    /** Called before a member answers a command. */
+    var beforeAnswer: (MemberCommand) -> Unit = {}
+
     /** Number of commits of the leader. */
     var commits = 0L
     private var term = 1L
@@ -71,6 +74,9 @@
     /** Rejections to give instead of running, by the request's id. */
     val rejections = HashMap<String, RejectionCode>()
 
+    /** Whether session values are rejected. */
+    var rejectsValues = false
+
     private val leads get() = group.leader === this
     private val end get() = if (leads) group.point else applied
 
@@ -108,6 +114,7 @@
 
         private fun answer(command: MemberCommand) {
             if (closed || silent) return
+            group.beforeAnswer(command)
             val result = execute(command)
             if (silent) return
             val report = if (command is MemberCommand.Report) report() else null
@@ -131,7 +138,12 @@
         }
 
         private fun settle(command: MemberCommand): StatementResult = when (command) {
-            is MemberCommand.SetValue -> completed().also { values[command.name] = command.value }
+            is MemberCommand.SetValue ->
+                if (rejectsValues) {
+                    rejected(RejectionCode.MALFORMED)
+                } else {
+                    completed().also { values[command.name] = command.value }
+                }
             is MemberCommand.Prepare -> completed().also { plans += command.name }
             is MemberCommand.Reset -> completed().also { values.clear() }.also { plans.clear() }
             else -> completed()
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -6,6 +6,7 @@
 import dev.kumquatknot.core.identity.RequestId
 import dev.kumquatknot.core.interactive.InteractiveConfiguration
 import dev.kumquatknot.core.interactive.InteractiveRoute
+import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.core.interactive.ReadConsistency
 import dev.kumquatknot.core.interactive.RejectionCode
 import dev.kumquatknot.core.interactive.SessionReply
@@ -239,6 +240,34 @@
             expectThat(Caller("own").write("next").result).isA<StatementResult.Completed>()
         }
 
+        private fun leaveWhileValuesAreSet() {
+            repeat(MOST_CONNECTIONS) { index ->
+                val caller = Caller("own")
+                group.beforeAnswer = { if (it is MemberCommand.SetValue) caller.session.disconnected() }
+                caller.ask("s$index", SessionStatement.SetValue("zone", "$index"))
+                caller.ask("b$index", SessionStatement.Begin(readOnly = false))
+                caller.send("w$index", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+                loop.advance(1.seconds)
+            }
+            group.beforeAnswer = {}
+        }
+
+        @Test
+        fun `whose caller leaves while its values are set runs nothing`() {
+            startNode()
+            leaveWhileValuesAreSet()
+            expectThat(group.runs.filter { it.request.startsWith("w") }).isEmpty()
+            expectThat(Caller("own").write("next").result).isA<StatementResult.Completed>()
+        }
+
+        @Test
+        fun `whose caller leaves while its values are rejected keeps no connection`() {
+            startNode()
+            group.members[0].rejectsValues = true
+            leaveWhileValuesAreSet()
+            expectThat(Caller("own").write("next").result).isA<StatementResult.Completed>()
+        }
+
         @Test
         fun `that has failed takes nothing but its end, and does not commit`() {
             startNode()
