--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
@@ -22,14 +22,16 @@
     private val group: GroupLanes,
     private val environment: NodeEnvironment,
 ) {
-    private val tried = HashSet<MemberName>()
-    private var attempts = 0
-    private var required: HistoryPoint? = null
+    private val search = MemberSearch(
+        flexible = readOnly && route.consistency != ReadConsistency.CURRENT,
+        group = group,
+        environment = environment,
+    )
     private var lane: MemberLane? = null
     private var link: PooledLink? = null
 
     /** What decided where the transaction runs. */
-    val facts: AnswerFacts get() = AnswerFacts(member, attempts, required)
+    val facts: AnswerFacts get() = search.facts
 
     private val member: MemberName? get() = lane?.member?.name
 
@@ -84,25 +86,23 @@
 
     private fun begin(call: StatementCall, done: (StatementResult.Rejected?) -> Unit) {
         if (failed) return
-        val flexible = readOnly && route.consistency != ReadConsistency.CURRENT
-        val needed = if (flexible) group.required(route, call.own) else null
-        required = needed
-        val chosen = needed?.let { group.reader(it, tried) } ?: group.primary()
-        if (chosen == null && environment.now() < call.waitsForPrimaryUntil) {
-            environment.schedule(environment.limits.retryPause) { begin(call, done) }
-            return
-        }
-        if (chosen == null || attempts >= environment.limits.attempts) {
-            return done(StatementResult.Rejected(RejectionCode.BUSY, "no member of ${route.group} can run it"))
+        search.next(call) { result ->
+            when (result) {
+                is SearchResult.Found -> offer(result, call, done)
+                is SearchResult.Exhausted -> done(StatementResult.Rejected(RejectionCode.BUSY, result.detail))
+            }
         }
-        attempts++
+    }
+
+    private fun offer(found: SearchResult.Found, call: StatementCall, done: (StatementResult.Rejected?) -> Unit) {
+        val chosen = found.lane
         chosen.submit(
             LaneWork(
                 item = call.workItem(),
                 granted = { open, slot ->
                     // The statements of a transaction go on without a slot of the lane; the connection bounds them.
                     slot.end(ran = false, answered = true)
-                    open(chosen, open, needed, call, done)
+                    open(chosen, open, found.required, call, done)
                 },
                 refused = { done(StatementResult.Rejected(RejectionCode.BUSY, "member ${chosen.member.name}: $it")) },
             ),
@@ -129,8 +129,8 @@
                 done(null)
             } else {
                 if (reply?.state == TransactionState.IDLE) chosen.putBack(open) else open.close()
-                tried += chosen.member.name
-                environment.schedule(environment.limits.retryPause) { begin(call, done) }
+                search.exclude(chosen)
+                search.later { begin(call, done) }
             }
         }
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -1,7 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.history.HistoryPoint
-import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.core.interactive.MemberReply
 import dev.kumquatknot.core.interactive.ReadConsistency
@@ -10,7 +9,6 @@
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.core.interactive.StatementResult
 import dev.kumquatknot.core.interactive.TransactionState
-import kotlin.time.Duration
 
 /** How a statement outside a transaction ended; [written] is the point of its commit, where it wrote. */
 internal data class SingleOutcome(val reply: SessionReply, val written: HistoryPoint?, val facts: AnswerFacts)
@@ -25,37 +23,27 @@
     private val environment: NodeEnvironment,
     private val done: (SingleOutcome) -> Unit,
 ) {
-    private val tried = HashSet<MemberName>()
-    private var attempts = 0
+    private val search = MemberSearch(
+        flexible = call.access == StatementAccess.READ && call.route.consistency != ReadConsistency.CURRENT,
+        group = group,
+        environment = environment,
+    )
     private var lastCode = RejectionCode.BUSY
-    private var lastRequired: HistoryPoint? = null
 
-    fun start() {
-        val required = if (isFlexible) group.required(call.route, call.own) else null
-        val lane = required?.let { group.reader(it, tried) } ?: group.primary()
-        when {
-            lane == null && environment.now() < call.waitsForPrimaryUntil ->
-                environment.schedule(environment.limits.retryPause) { start() }
-            lane == null -> fail(lastCode, "no member of ${call.route.group} can run the statement")
-            attempts >= environment.limits.attempts -> fail(lastCode, "rejected by ${tried.joinToString()}")
-            else -> offer(lane, required)
+    fun start() = search.next(call) { result ->
+        when (result) {
+            is SearchResult.Found -> offer(result.lane, result.required)
+            is SearchResult.Exhausted -> fail(lastCode, result.detail)
         }
     }
 
-    private val isFlexible: Boolean
-        get() = call.access == StatementAccess.READ && call.route.consistency != ReadConsistency.CURRENT
-
-    private fun offer(lane: MemberLane, required: HistoryPoint?) {
-        attempts++
-        lastRequired = required
-        lane.submit(
-            LaneWork(
-                item = call.workItem(),
-                granted = { link, slot -> prepare(lane, link, slot, required) },
-                refused = { refusal -> fail(RejectionCode.BUSY, "member ${lane.member.name}: $refusal") },
-            ),
-        )
-    }
+    private fun offer(lane: MemberLane, required: HistoryPoint?) = lane.submit(
+        LaneWork(
+            item = call.workItem(),
+            granted = { link, slot -> prepare(lane, link, slot, required) },
+            refused = { refusal -> fail(RejectionCode.BUSY, "member ${lane.member.name}: $refusal") },
+        ),
+    )
 
     private fun prepare(lane: MemberLane, link: PooledLink, slot: LaneSlot, required: HistoryPoint?) {
         link.prepareFor(call.values, call.plan, environment.limits.settling) { ready ->
@@ -83,17 +71,10 @@
             slot.end(ran = false, answered = true)
             return fail(RejectionCode.BUSY, "no time was left when a connection came")
         }
-        val timeout = if (call.access == StatementAccess.READ) attemptTime(left) else left
+        val timeout = if (call.access == StatementAccess.READ) search.attemptTime(left) else left
         link.run(commands, timeout) { result -> ended(lane, link, slot, result, provesLead) }
     }
 
-    private fun attemptTime(left: Duration): Duration =
-        if (attempts < environment.limits.attempts) {
-            maxOf(left * environment.limits.readAttemptPart, LEAST_ATTEMPT).coerceAtMost(left)
-        } else {
-            left
-        }
-
     private fun ended(lane: MemberLane, link: PooledLink, slot: LaneSlot, result: BatchResult, provesLead: Boolean) {
         slot.end(ran = true, answered = result is BatchResult.Answered)
         when (result) {
@@ -127,31 +108,23 @@
             SingleOutcome(
                 SessionReply(reply.rows, reply.result, TransactionState.IDLE),
                 written,
-                facts(lane.member.name),
+                search.facts,
             ),
         )
     }
 
     private fun again(lane: MemberLane, code: RejectionCode) {
         lastCode = code
-        tried += lane.member.name
-        when {
-            code == RejectionCode.TIMED_OUT -> fail(code, "no answer from ${tried.joinToString()} in time")
-            code == RejectionCode.BUSY || code == RejectionCode.READ_ONLY ->
-                environment.schedule(environment.limits.retryPause) { start() }
+        search.exclude(lane)
+        when (code) {
+            RejectionCode.TIMED_OUT -> fail(code, "no answer from ${search.excluded.joinToString()} in time")
+            RejectionCode.BUSY, RejectionCode.READ_ONLY -> search.later { start() }
             else -> start()
         }
     }
 
     private fun fail(code: RejectionCode, detail: String) {
         val result = StatementResult.Rejected(code, detail)
-        done(SingleOutcome(SessionReply(emptyList(), result, TransactionState.IDLE), null, facts(tried.lastOrNull())))
-    }
-
-    private fun facts(member: MemberName?) = AnswerFacts(member, attempts, lastRequired)
-
-    private companion object {
-        /** Below this a slow answer would be taken for a lost one. */
-        val LEAST_ATTEMPT = InteractiveLimits().report
+        done(SingleOutcome(SessionReply(emptyList(), result, TransactionState.IDLE), null, search.facts))
     }
 }
