Tell a request's story from the logs of all VMs

Cause: from a failed request's id an operator had to search the logs of each VM by hand for what was believed then. Change: kumquatknot explain merges logs and prints the decisions on a request, the beliefs of the deciding VM at that time and failovers of the group elsewhere. The line of a statement also holds the age of the proof and the time that it waited; waits and failover orders are metrics. Ruled out: a store of traces, since logs are all that lasts.

--- a/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/CommandLine.kt
+++ b/kumquatknot-app/src/main/kotlin/dev/kumquatknot/app/CommandLine.kt
@@ -4,6 +4,7 @@
 import dev.kumquatknot.app.command.CheckCommand
 import dev.kumquatknot.app.command.Command
 import dev.kumquatknot.app.command.DemoCommand
+import dev.kumquatknot.app.command.ExplainCommand
 import dev.kumquatknot.app.command.GenerateCommand
 import dev.kumquatknot.app.command.KeysCommand
 import dev.kumquatknot.app.command.MeasureCommand
@@ -86,6 +87,7 @@
             StatusCommand(console, connect),
             ProxyCommand(console),
             NodeCommand(console),
+            ExplainCommand(console),
             StandinCommand(console),
             MeasureCommand(console),
             DemoCommand(console),
--- a/kumquatknot-app/src/test/kotlin/dev/kumquatknot/app/CommandLineSpec.kt
+++ b/kumquatknot-app/src/test/kotlin/dev/kumquatknot/app/CommandLineSpec.kt
@@ -75,6 +75,40 @@
         }
     }
 
+    @Nested
+    inner class `explain` {
+        private fun logFile(folder: Path): String = folder.resolve("vm-1.log").also {
+            it.writeText(
+                """{"@timestamp":"2026-05-01T10:00:00Z","eventName":"PRIMARY_PROVED","group":"g","member":"a"}
+                   not an event
+                   {"@timestamp":"2026-05-01T10:00:01Z","eventName":"STATEMENT_REJECTED","request":"r1","group":"g"}""",
+            )
+        }.toString()
+
+        @Test
+        fun `tells the story of a request`(
+            @TempDir folder: Path,
+        ) {
+            expectThat(run("explain", "r1", logFile(folder))).isEqualTo(ExitCode.OK)
+            expectThat(out[0]).contains("PRIMARY_PROVED group=g member=a")
+            expectThat(out[1]).contains("STATEMENT_REJECTED group=g")
+        }
+
+        @Test
+        fun `says so where no log names the request`(
+            @TempDir folder: Path,
+        ) {
+            expectThat(run("explain", "r2", logFile(folder))).isEqualTo(ExitCode.FAILED)
+            expectThat(errors.single()).contains("no line of 1 logs with 2 events names request r2")
+        }
+
+        @Test
+        fun `names a file that cannot be read`() {
+            expectThat(run("explain", "r1", "no-such-file")).isEqualTo(ExitCode.BAD_DATA)
+            expectThat(errors.single()).contains("no-such-file cannot be read")
+        }
+    }
+
     @Nested
     inner class `check` {
         @Test
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
@@ -21,6 +21,7 @@
     private val holder: String,
     private val order: OrderPromotion,
     private val executor: Executor,
+    private val metrics: InteractiveMetrics = InteractiveMetrics(),
 ) {
     private val environment = node.nodeEnvironment
     private val decisions = HashMap<DatabaseName, FailoverDecision>()
@@ -75,6 +76,7 @@
     }
 
     private fun send(group: GroupLanes, decision: FailoverDecision, next: FailoverOrder, token: Long) {
+        metrics.failoverOrdered(next.reason)
         environment.events.log(
             Event.FAILOVER_ORDERED,
             "group" to group.group.value,
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.databasegroup.FailoverReason
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.RejectionCode
 import io.prometheus.metrics.core.metrics.Counter
@@ -12,30 +13,43 @@
 
 /** Metrics of interactive sessions. Labels come from the configuration, never from what a caller sends. */
 public class InteractiveMetrics(private val registry: PrometheusRegistry = PrometheusRegistry()) {
-    private val duration =
-        Histogram.builder()
-            .name("kumquatknot_statement_duration_seconds")
-            .help("Time from the arrival of a statement at this VM to its final answer")
-            .labelNames("consistency", "rank", "outcome")
-            .classicOnly()
-            .classicExponentialUpperBounds(SHORTEST_SECONDS, FACTOR, BUCKETS)
-            .register(registry)
-    private val rejections =
-        Counter.builder()
-            .name("kumquatknot_statement_rejections_total")
-            .help("Statements that were rejected, by code")
-            .labelNames("consistency", "rank", "code")
-            .register(registry)
-
-    /** Counts a statement that ended after [time]; [code] is null where it succeeded. */
-    public fun statementEnded(route: InteractiveRoute, code: RejectionCode?, time: Duration) {
+    private val duration = histogram(
+        "kumquatknot_statement_duration_seconds",
+        "Time from the arrival of a statement at this VM to its final answer",
+        "consistency",
+        "rank",
+        "outcome",
+    )
+    private val wait = histogram(
+        "kumquatknot_statement_wait_seconds",
+        "Time from the arrival of a statement at this VM until it had a slot and a connection",
+        "consistency",
+        "rank",
+    )
+    private val rejections = counter(
+        "kumquatknot_statement_rejections_total",
+        "Statements that were rejected, by code",
+        "consistency",
+        "rank",
+        "code",
+    )
+    private val failovers = counter("kumquatknot_failover_orders_total", "Orders to fail over, by reason", "reason")
+
+    /** Counts a statement that ended after [time], of which it [waited]; [code] is null where it succeeded. */
+    public fun statementEnded(route: InteractiveRoute, code: RejectionCode?, time: Duration, waited: Duration?) {
         val consistency = route.consistency.name.lowercase()
         val rank = route.rank.name.lowercase()
         val outcome = if (code == null) "completed" else "rejected"
         duration.labelValues(consistency, rank, outcome).observe(time.toDouble(DurationUnit.SECONDS))
+        if (waited != null) wait.labelValues(consistency, rank).observe(waited.toDouble(DurationUnit.SECONDS))
         if (code != null) rejections.labelValues(consistency, rank, code.name.lowercase()).inc()
     }
 
+    /** Counts an order to fail over for [reason]. */
+    public fun failoverOrdered(reason: FailoverReason) {
+        failovers.labelValues(reason.name.lowercase()).inc()
+    }
+
     /** Returns all metrics in the text format of Prometheus. */
     public fun exposition(): String {
         val text = ByteArrayOutputStream()
@@ -43,6 +57,13 @@
         return text.toString(Charsets.UTF_8)
     }
 
+    private fun histogram(name: String, help: String, vararg labels: String): Histogram =
+        Histogram.builder().name(name).help(help).labelNames(*labels)
+            .classicOnly().classicExponentialUpperBounds(SHORTEST_SECONDS, FACTOR, BUCKETS).register(registry)
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+
     private companion object {
         const val SHORTEST_SECONDS = 0.001
         const val FACTOR = 2.0
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -118,7 +118,7 @@
         open.commit(call) { reply, written ->
             if (reply.state == TransactionState.IDLE) transaction = null
             written?.let(::wrote)
-            answer(call, reply, open.facts)
+            answer(call, reply, open.facts(call))
         }
     }
 
@@ -144,7 +144,7 @@
         val open = transaction
         if (open != null) {
             val call = call(request, open.route, access, plan, text)
-            open.run(call) { answer(call, it, open.facts) }
+            open.run(call) { answer(call, it, open.facts(call)) }
             return
         }
         val route = route() ?: return
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
@@ -24,18 +24,13 @@
     private val environment: NodeEnvironment,
 ) {
     private val tried = LinkedHashSet<MemberName>()
-    private var required: HistoryPoint? = null
-    private var latest: MemberName? = null
 
-    /** How many members were found so far. */
-    var attempts: Int = 0
+    /** What decided where the work went so far. */
+    var facts: AnswerFacts = AnswerFacts()
         private set
 
     /** Whether one more member may be tried after the present one. */
-    val hasMoreAttempts: Boolean get() = attempts < environment.limits.attempts
-
-    /** What decided where the work went. */
-    val facts: AnswerFacts get() = AnswerFacts(latest, attempts, required)
+    private val hasMoreAttempts: Boolean get() = facts.attempts < environment.limits.attempts
 
     /** Names of the members that could not serve. */
     val excluded: Set<MemberName> get() = tried
@@ -49,14 +44,22 @@
             lane == null -> done(SearchResult.Exhausted("no member of ${call.route.group} can run it"))
             !hasMoreAttempts -> done(SearchResult.Exhausted("rejected by ${tried.joinToString()}"))
             else -> {
-                attempts++
-                required = needed
-                latest = lane.member.name
+                facts = AnswerFacts(
+                    member = lane.member.name,
+                    attempts = facts.attempts + 1,
+                    required = needed,
+                    proofAge = group.proofs.latestAskedAt?.let { environment.now() - it },
+                )
                 done(SearchResult.Found(lane, needed))
             }
         }
     }
 
+    /** Notes that the member found last gave [call] a slot and a connection. */
+    fun granted(call: StatementCall) {
+        facts = facts.copy(waited = environment.now() - call.startedAt)
+    }
+
     /** Notes that [lane] could not serve; the next search prefers others. */
     fun exclude(lane: MemberLane) {
         tried += lane.member.name
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
@@ -2,6 +2,7 @@
 
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.identity.RequestId
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.core.interactive.MemberReply
@@ -11,6 +12,7 @@
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.core.interactive.StatementResult
 import dev.kumquatknot.core.interactive.TransactionState
+import kotlin.time.Duration
 
 /**
  * An interactive transaction of one session. Its connection is chosen by the first statement, since nothing needs a
@@ -29,9 +31,11 @@
     )
     private var lane: MemberLane? = null
     private var link: PooledLink? = null
+    private var connectedFor: RequestId? = null
 
-    /** What decided where the transaction runs. */
-    val facts: AnswerFacts get() = search.facts
+    /** What decided where [call] ran; a statement that found the connection there did not wait for it. */
+    fun facts(call: StatementCall): AnswerFacts =
+        if (call.request == connectedFor) search.facts else search.facts.copy(waited = Duration.ZERO)
 
     private val member: MemberName? get() = lane?.member?.name
 
@@ -100,6 +104,8 @@
             LaneWork(
                 item = call.workItem(),
                 granted = { open, slot ->
+                    search.granted(call)
+                    connectedFor = call.request
                     // The statements of a transaction go on without a slot of the lane; the connection bounds them.
                     slot.end(ran = false, answered = true)
                     open(chosen, open, found.required, call, done)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -40,7 +40,10 @@
     private fun offer(lane: MemberLane, required: HistoryPoint?) = lane.submit(
         LaneWork(
             item = call.workItem(),
-            granted = { link, slot -> prepare(lane, link, slot, required) },
+            granted = { link, slot ->
+                search.granted(call)
+                prepare(lane, link, slot, required)
+            },
             refused = { refusal -> fail(RejectionCode.BUSY, "member ${lane.member.name}: $refusal") },
         ),
     )
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementRecorder.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementRecorder.kt
@@ -18,7 +18,7 @@
 
     fun record(call: StatementCall, reply: SessionReply, facts: AnswerFacts) {
         val rejection = reply.result as? StatementResult.Rejected
-        metrics.statementEnded(call.route, rejection?.code, environment.now() - call.startedAt)
+        metrics.statementEnded(call.route, rejection?.code, environment.now() - call.startedAt, facts.waited)
         if (rejection != null) {
             log(Event.STATEMENT_REJECTED, call, facts, rejection)
         } else if (mayLog()) {
@@ -49,6 +49,8 @@
             "member" to facts.member?.value,
             "attempts" to facts.attempts,
             "required" to facts.required?.toString(),
+            "proofAgeMs" to facts.proofAge?.inWholeMilliseconds,
+            "waitedMs" to facts.waited?.inWholeMilliseconds,
             "tookMs" to (environment.now() - call.startedAt).inWholeMilliseconds,
             "code" to rejection?.code?.name,
             "detail" to rejection?.detail,
