--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/EventLog.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/EventLog.kt
@@ -5,10 +5,12 @@
 
 /**
  * Writes numbered events as structured log lines: the field `event` holds the number, `eventName` the name, and the
- * variable parts are fields of their own. `logback.xml` turns a line into one JSON object on the standard output;
- * the level and the destination are set there.
+ * variable parts are fields of their own. [LogSetup] turns a line into one JSON object on the standard
+ * output. The logger is made by the first event, so that a starting node listens before it sets up its log.
  */
-public class EventLog(private val logger: KLogger = KotlinLogging.logger("dev.kumquatknot.events")) {
+public class EventLog(logger: KLogger? = null) {
+    private val logger by lazy { logger ?: KotlinLogging.logger("dev.kumquatknot.events") }
+
     /** Logs [event] with its variable parts [fields] and the [cause], where there is one. */
     public fun log(event: Event, vararg fields: Pair<String, Any?>, cause: Throwable? = null) {
         logger.at(event.level) {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
@@ -11,29 +11,41 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Metrics of interactive sessions. Labels come from the configuration, never from what a caller sends. */
-public class InteractiveMetrics(private val registry: PrometheusRegistry = PrometheusRegistry()) {
-    private val duration = histogram(
-        "kumquatknot_statement_duration_seconds",
-        "Time from the arrival of a statement at this VM to its final answer",
-        "consistency",
-        "rank",
-        "outcome",
-    )
-    private val wait = histogram(
-        "kumquatknot_statement_wait_seconds",
-        "Time from the arrival of a statement at this VM until it had a slot and a connection",
-        "consistency",
-        "rank",
-    )
-    private val rejections = counter(
-        "kumquatknot_statement_rejections_total",
-        "Statements that were rejected, by code",
-        "consistency",
-        "rank",
-        "code",
-    )
-    private val failovers = counter("kumquatknot_failover_orders_total", "Orders to fail over, by reason", "reason")
+/**
+ * Metrics of interactive sessions. Labels come from the configuration, never from what a caller sends. Each metric is
+ * set up at its first use, after a starting node has begun to listen.
+ */
+public class InteractiveMetrics {
+    private val registry by lazy { PrometheusRegistry() }
+    private val duration by lazy {
+        histogram(
+            "kumquatknot_statement_duration_seconds",
+            "Time from the arrival of a statement at this VM to its final answer",
+            "consistency",
+            "rank",
+            "outcome",
+        )
+    }
+    private val wait by lazy {
+        histogram(
+            "kumquatknot_statement_wait_seconds",
+            "Time from the arrival of a statement at this VM until it had a slot and a connection",
+            "consistency",
+            "rank",
+        )
+    }
+    private val rejections by lazy {
+        counter(
+            "kumquatknot_statement_rejections_total",
+            "Statements that were rejected, by code",
+            "consistency",
+            "rank",
+            "code",
+        )
+    }
+    private val failovers by lazy {
+        counter("kumquatknot_failover_orders_total", "Orders to fail over, by reason", "reason")
+    }
 
     /** Counts a statement that ended after [time], of which it [waited]; [code] is null where it succeeded. */
     public fun statementEnded(route: InteractiveRoute, code: RejectionCode?, time: Duration, waited: Duration?) {
