--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FeedReader.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FeedReader.kt
@@ -17,12 +17,15 @@
  *
  * While the store does not answer, what was read last stays in force.
  *
+ * @param watchTime time that one call waits for changes; bounds the time for which a connection that went silent hides
+ * them.
  * @param onObjects called on the reader's thread with all objects, after each change.
  */
 public class FeedReader(
     private val kind: String,
     private val feed: ObjectFeed,
     private val events: EventLog,
+    private val watchTime: Duration,
     private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) },
     private val onObjects: (Collection<StoredObject>) -> Unit,
 ) {
@@ -60,7 +63,7 @@
     private fun followFrom(first: Long) {
         var revision = first
         while (!stopped) {
-            when (val answer = answer(feed.changes(kind, revision, WATCH_TIME))) {
+            when (val answer = answer(feed.changes(kind, revision, watchTime))) {
                 null -> Unit
                 is FeedAnswer.HistoryGone -> return
                 is FeedAnswer.Changed -> {
@@ -94,12 +97,10 @@
     )
 
     private companion object {
-        /** Bounds the time for which a connection that went silent hides changes. */
-        val WATCH_TIME = 3.seconds
         val FIRST_PAUSE = 100.milliseconds
 
-        /** Well below the times within which changes must be in force. */
-        val LONGEST_PAUSE = 500.milliseconds
+        /** Well below the 3 s within which changes must be in force once the store is back; every call has a price. */
+        val LONGEST_PAUSE = 1.seconds
 
         /** A single failure is ordinary, for example a watch that was cut off. */
         const val REPORTED_FAILURES = 2
