Follow a failover within moments and wait for its end only where that helps

The deciding VM ordered at 7.3 s and knew the successor at 8.5 s, the other seven at 9.5 s, since they asked replicas only after 2 s of silence. Until then each VM queued work at the dead member: 474 statements there ended as overloaded or without a connection, after up to 0.9 s. Change: while a primary is in trouble every VM asks all members, with a transaction that costs no slot; the deciding VM asks a quiet primary every 200 ms. Work for a lost primary waits where its successor is expected within its time, and is rejected at once where it is not. Ruled out: holding all work to the end of its time, which helps nobody whose time ends before the failover does.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
@@ -39,7 +39,7 @@
 
     private fun look() {
         val token = keeper.heldToken
-        node.observesAll = token != null
+        node.decidesFailovers = token != null
         if (token == null) {
             holdsSince = null
             decisions.clear()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
@@ -16,6 +16,7 @@
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.proxy.event.Event
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The members of one group, and what this VM knows of its primary and of the age of its replicas' data. */
 internal class GroupLanes(
@@ -75,6 +76,14 @@
         leavingFor == null || leavingFor < environment.limits.leavingWrites
     }
 
+    /** When the primary was seen last, where it is out of reach or unknown; null where it leads, or was never seen. */
+    fun primaryLostSince(): Duration? {
+        val seenAt = proofs.latestAskedAt ?: return null
+        val lane = belief.primary?.let { lanes[it] }
+        val isDoubtful = lane == null || !belief.isProved || lane.health.failures > 0
+        return seenAt.takeIf { isDoubtful && environment.now() - it > LOST_AFTER }
+    }
+
     /** Returns the point that a read of [route] needs at a replica; null where none is proved. */
     fun required(route: InteractiveRoute, own: HistoryPoint?): HistoryPoint? {
         val age = route.maximumStaleness - environment.limits.stalenessMargin
@@ -85,8 +94,10 @@
     /** Returns the best lane for a read that needs [required], without those in [tried]; null where there is none. */
     fun reader(required: HistoryPoint, tried: Set<MemberName>): MemberLane? {
         val now = environment.now()
+        val lost = belief.primary.takeIf { primaryLostSince() != null }
         val candidates = lanes.values
-            .filter { it.leavingSince == null && it.health.isUsable && it.member.name !in tried }
+            .filter { it.leavingSince == null && it.health.isUsable }
+            .filter { it.member.name !in tried && it.member.name != lost }
             .map { candidate(it, now) }
         return placement.choose(candidates, required)?.let { lanes[it.name] }
     }
@@ -154,4 +165,9 @@
         "point" to lane.health.point?.toString(),
         "evidenceAgeMs" to (environment.now() - sentAt).inWholeMilliseconds,
     )
+
+    private companion object {
+        /** Time without a sign of the primary; two questions to it have gone unanswered then. */
+        val LOST_AFTER = 800.milliseconds
+    }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupObserver.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupObserver.kt
@@ -7,33 +7,46 @@
 
 /**
  * Asks members about themselves where ordinary work has not told enough: the primary for proofs of freshness, replicas
- * for the ends of their logs. A VM that decides failovers asks all members all the time.
+ * for the ends of their logs. While a primary is in trouble all members are asked, so that its successor is known soon.
  */
 internal class GroupObserver(private val environment: NodeEnvironment) {
     private val asked = HashSet<MemberLane>()
 
-    /** Asks what [group] does not tell by itself; [all] asks every member of a group whose primary is in trouble. */
-    fun observe(group: GroupLanes, all: Boolean) {
+    /** Asks what [group] does not tell by itself; a VM that [decides] failovers asks its primary more often. */
+    fun observe(group: GroupLanes, decides: Boolean) {
         val now = environment.now()
+        val troubled = group.isTroubled(now)
         group.all.forEach { lane ->
-            val needed = (all && group.isTroubled(now)) || isQuiet(group, lane, now)
-            if (needed && lane !in asked) ask(group, lane)
+            if (lane !in asked &&
+                (troubled || isQuiet(group, lane, now, decides))
+            ) {
+                ask(lane, questions(group, lane, decides))
+            }
         }
     }
 
-    private fun isQuiet(group: GroupLanes, lane: MemberLane, now: Duration): Boolean {
+    private fun isQuiet(group: GroupLanes, lane: MemberLane, now: Duration, decides: Boolean): Boolean {
         val leads = lane.member.name == group.belief.primary
         val since = if (leads) group.proofs.latestAskedAt else lane.health.answeredAt
-        val limit = if (leads) PROOF_AGE else REPLICA_AGE
+        val limit = if (!leads) {
+            REPLICA_AGE
+        } else if (decides) {
+            DECIDER_PROOF_AGE
+        } else {
+            PROOF_AGE
+        }
         return since == null || !group.belief.isProved || lane.health.failures > 0 || now - since > limit
     }
 
-    /** An accepted transaction proves the lead without a slot of the member; a report also counts connections. */
-    private fun questions(group: GroupLanes, lane: MemberLane): List<MemberCommand> {
+    /**
+     * An accepted transaction proves the lead, and a refused one that another member leads, without a slot of the
+     * member. A report also counts connections, and tells whoever decides how much a member has received.
+     */
+    private fun questions(group: GroupLanes, lane: MemberLane, decides: Boolean): List<MemberCommand> {
         val reportedAt = lane.health.reportedAt
         val leads = group.belief.isProved && lane.member.name == group.belief.primary && lane.leavingSince == null
         val isReportRecent = reportedAt != null && environment.now() - reportedAt < REPORT_AGE
-        return if (leads && isReportRecent) {
+        return if (isReportRecent && (leads || !decides)) {
             listOf(MemberCommand.Begin(readOnly = false), MemberCommand.Rollback)
         } else {
             listOf(MemberCommand.Report)
@@ -49,14 +62,14 @@
             now - provedAt > TROUBLE_AGE
     }
 
-    private fun ask(group: GroupLanes, lane: MemberLane) {
+    private fun ask(lane: MemberLane, questions: List<MemberCommand>) {
         asked += lane
         lane.borrow { link ->
             if (link == null) {
                 asked -= lane
                 return@borrow
             }
-            link.run(questions(group, lane), environment.limits.report) { result ->
+            link.run(questions, environment.limits.report) { result ->
                 asked -= lane
                 when (result) {
                     is BatchResult.Answered -> lane.putBack(link)
@@ -70,6 +83,9 @@
         /** Age of the newest proof above which the primary is asked; a fraction of the staleness that routes allow. */
         val PROOF_AGE: Duration = 400.milliseconds
 
+        /** The same for a VM that decides failovers, which must notice a loss soon. */
+        val DECIDER_PROOF_AGE: Duration = 200.milliseconds
+
         /** Age of the newest proof above which something is wrong: a question was not answered. */
         val TROUBLE_AGE: Duration = PROOF_AGE * 2
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
@@ -46,7 +46,7 @@
     val attempts: Int = 4,
     val readAttemptPart: Double = 0.5,
     val stalenessMargin: Duration = 150.milliseconds,
-    val observation: Duration = 250.milliseconds,
+    val observation: Duration = 100.milliseconds,
     val retryPause: Duration = 20.milliseconds,
     val goneAfter: Duration = 2_500.milliseconds,
     val leavingWrites: Duration = 5.seconds,
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -85,13 +85,13 @@
 
     internal val nodeEnvironment: NodeEnvironment get() = environment
 
-    /** Whether every member is asked about itself all the time, as whoever decides failovers needs. */
-    public var observesAll: Boolean = false
+    /** Whether this VM decides failovers, for which it needs to know more of the members. */
+    public var decidesFailovers: Boolean = false
 
     /** Starts the periodic work. */
     public fun start() {
         repeatEvery(environment.limits.maintenance) { groups.values.forEach { it.maintain() } }
-        repeatEvery(environment.limits.observation) { groups.values.forEach { observer.observe(it, observesAll) } }
+        repeatEvery(environment.limits.observation) { groups.values.forEach { observer.observe(it, decidesFailovers) } }
     }
 
     /** Puts [next] in force if its number is higher than that of the current one. */
@@ -174,7 +174,7 @@
         environment = environment,
         isRemote = ::isRemote,
         connections = { configuration.connections[name] ?: 0 },
-        onPrimaryUnknown = { observer.observe(it, all = true) },
+        onPrimaryUnknown = { observer.observe(it, decidesFailovers) },
     )
 
     private fun spreadMembers() {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
@@ -2,6 +2,7 @@
 
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.interactive.OutagePatience
 import kotlin.time.Duration
 
 /** What a [MemberSearch] ended with. */
@@ -24,6 +25,7 @@
     private val environment: NodeEnvironment,
 ) {
     private val tried = LinkedHashSet<MemberName>()
+    private val patience = OutagePatience()
 
     /** What decided where the work went so far. */
     var facts: AnswerFacts = AnswerFacts()
@@ -39,9 +41,10 @@
     fun next(call: StatementCall, done: (SearchResult) -> Unit) {
         val needed = if (flexible) group.required(call.route, call.own) else null
         val lane = needed?.let { group.reader(it, tried) } ?: group.primary()
+        val lostSince = group.primaryLostSince()
         when {
-            lane == null && environment.now() < call.waitsForPrimaryUntil -> later { next(call, done) }
-            lane == null -> done(SearchResult.Exhausted("no member of ${call.route.group} can run it"))
+            lane == null || (lostSince != null && lane.member.name == group.belief.primary) ->
+                awaitPrimary(call, lostSince, done)
             !hasMoreAttempts -> done(SearchResult.Exhausted("rejected by ${tried.joinToString()}"))
             else -> {
                 facts = AnswerFacts(
@@ -55,6 +58,21 @@
         }
     }
 
+    private fun awaitPrimary(call: StatementCall, lostSince: Duration?, done: (SearchResult) -> Unit) {
+        val now = environment.now()
+        val until = if (lostSince == null) {
+            call.waitsForPrimaryUntil
+        } else {
+            patience.waitsUntil(lostSince, now, call.deadline)
+        }
+        if (until != null && now < until) {
+            later { next(call, done) }
+        } else {
+            val since = lostSince?.let { ", which lost its primary ${now - it} ago" }.orEmpty()
+            done(SearchResult.Exhausted("no member of ${call.route.group}$since can run it"))
+        }
+    }
+
     /** Notes that the member found last gave [call] a slot and a connection. */
     fun granted(call: StatementCall) {
         facts = facts.copy(waited = environment.now() - call.startedAt)
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
@@ -74,6 +74,9 @@
     /** Rejections to give instead of running, by the request's id. */
     val rejections = HashMap<String, RejectionCode>()
 
+    /** Whether the member answers nothing, as after a loss of its machine. */
+    var dark = false
+
     /** Whether session values are rejected. */
     var rejectsValues = false
 
@@ -101,7 +104,7 @@
         private var closed = false
 
         fun start() {
-            loop.schedule(LATENCY) { if (!closed) events.opened(end) }
+            loop.schedule(LATENCY) { if (!closed && !dark) events.opened(end) }
         }
 
         override fun send(commands: List<MemberCommand>) {
@@ -113,7 +116,7 @@
         }
 
         private fun answer(command: MemberCommand) {
-            if (closed || silent) return
+            if (closed || silent || dark) return
             group.beforeAnswer(command)
             val result = execute(command)
             if (silent) return
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -26,6 +26,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -41,11 +42,15 @@
     )
     private val node = InteractiveNode(place, InteractivePorts(loop, loop::schedule, group::open, EventLog()))
 
-    private fun route(name: String, consistency: ReadConsistency) = InteractiveRoute(
+    private fun route(
+        name: String,
+        consistency: ReadConsistency,
+        timeout: Duration = 800.milliseconds,
+    ) = InteractiveRoute(
         name,
         FakeGroup.NAME,
         consistency,
-        800.milliseconds,
+        timeout,
         500.milliseconds,
         Rank.URGENT,
         1_500.milliseconds,
@@ -55,6 +60,7 @@
         route("current", ReadConsistency.CURRENT),
         route("bounded", ReadConsistency.BOUNDED_STALENESS),
         route("own", ReadConsistency.READ_YOUR_WRITES),
+        route("patient", ReadConsistency.CURRENT, timeout = 4.seconds),
     ).associateBy { it.name }
 
     private fun configuration(number: Long, names: Set<String> = routes.keys) =
@@ -367,6 +373,64 @@
         }
     }
 
+    @Nested
+    inner class `a primary that is lost` {
+        private fun losePrimary() {
+            startNode()
+            group.replicate()
+            group.members[0].dark = true
+            // Reads keep the replicas answering, so that nobody asks them because they are quiet.
+            val reader = Caller("bounded")
+            repeat(SILENT_STEPS) {
+                reader.send("r$it", SessionStatement.Run(StatementAccess.READ, "READ 1"))
+                loop.advance(100.milliseconds)
+            }
+        }
+
+        private fun replacePrimary() {
+            group.promote(1)
+            loop.advance(300.milliseconds)
+        }
+
+        @Test
+        fun `is followed by the new one within moments, also where another VM decides failovers`() {
+            losePrimary()
+            replacePrimary()
+            expectThat(node.groupLanes.single().belief.primary?.value).isEqualTo("b")
+        }
+
+        @Test
+        fun `holds a write back that has the time to wait for the new one`() {
+            losePrimary()
+            val caller = Caller("patient")
+            caller.send("w", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(1.seconds)
+            expectThat(caller.replies).isEmpty()
+            replacePrimary()
+            expectThat(caller.replies.single().result).isEqualTo(StatementResult.Completed("signature-w"))
+            expectThat(runOf("w").map { it.member }).containsExactly("b")
+        }
+
+        @Test
+        fun `rejects at once what has no time to wait for the new one`() {
+            losePrimary()
+            val caller = Caller("current")
+            caller.send("w", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(1.milliseconds)
+            expectThat(caller.replies.single().code).isEqualTo(RejectionCode.BUSY)
+        }
+
+        @Test
+        fun `and not replaced in the usual time holds nothing back any more`() {
+            losePrimary()
+            loop.advance(4.seconds)
+            val caller = Caller("patient")
+            caller.send("w", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(1.milliseconds)
+            expectThat(caller.replies.single().code).isEqualTo(RejectionCode.BUSY)
+        }
+    }
+
     @Nested
     inner class `a member that is leaving` {
         @Test
@@ -407,6 +471,7 @@
 
     private companion object {
         const val MOST_STEPS = 100
+        const val SILENT_STEPS = 15
         const val MOST_CONNECTIONS = 20
     }
 }
