Share the connections of a member fairly after a start, measure its service without their opening

Members count connections of lost VMs for 3 s; the first VMs to start opened two and more, since nobody had told them the count, and three VMs had none for 1.5 s. And the wait for a connection counted as service time (151 ms for a statement of 1 ms), from which the queue concluded that it was full. Change: one connection to a member until it has told how many it counts; service time begins with the connection. Ruled out: a larger reserve, which would take connections that open transactions need.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
@@ -28,14 +28,19 @@
 )
 
 /** A slot of a lane; given back once, with [end]. */
-internal class LaneSlot(private val lane: MemberLane, private val ticket: Ticket, private val grantedAt: Duration) {
+internal class LaneSlot(private val lane: MemberLane, private val ticket: Ticket, private var usedSince: Duration) {
     private var ended = false
 
+    /** Notes that there is a connection from [now] on; the wait for it says nothing of the member's service time. */
+    fun connected(now: Duration) {
+        usedSince = now
+    }
+
     /** Gives the slot back; [ran] tells whether a statement ran, [answered] whether the member answered it. */
     fun end(ran: Boolean, answered: Boolean) {
         if (ended) return
         ended = true
-        lane.giveBack(ticket, grantedAt, ran, answered)
+        lane.giveBack(ticket, usedSince, ran, answered)
     }
 }
 
@@ -57,7 +62,7 @@
     private val idle = ArrayDeque<PooledLink>()
     private val seekers = ArrayDeque<Seeker>()
     private var opening = 0
-    private var connectionsElsewhere = 0
+    private var connectionsElsewhere: Int? = null
     private var openAfter = Duration.ZERO
     private var closed = false
 
@@ -79,6 +84,9 @@
     var distance: Duration = Duration.ZERO
         private set
 
+    /** Time that the member takes for a statement, as measured. */
+    val serviceTime: Duration get() = queue.load().serviceTime
+
     /** Time that one more item would wait. */
     fun expectedWait(): Duration {
         val load = queue.load()
@@ -103,9 +111,9 @@
         }
     }
 
-    fun giveBack(ticket: Ticket, grantedAt: Duration, ran: Boolean, answered: Boolean) {
+    fun giveBack(ticket: Ticket, usedSince: Duration, ran: Boolean, answered: Boolean) {
         val now = environment.now()
-        val held = now - grantedAt
+        val held = now - usedSince
         apply(if (ran) queue.release(ticket, now, held, answered) else queue.abandon(ticket, now, held))
     }
 
@@ -195,6 +203,7 @@
         if (link != null) return work.granted(link, slot)
         val seeker = Seeker { found ->
             if (found != null) {
+                slot.connected(environment.now())
                 work.granted(found, slot)
             } else {
                 slot.end(ran = false, answered = true)
@@ -240,7 +249,9 @@
     private fun mayOpen(): Boolean {
         val most = capacity()
         val share = (most * environment.limits.connectionShare).toInt().coerceAtLeast(1)
-        val free = most - environment.limits.connectionReserve - connectionsElsewhere - links.size
+        // Until the member has told, others may hold all but the one that each VM may have.
+        val elsewhere = connectionsElsewhere ?: most
+        val free = most - environment.limits.connectionReserve - elsewhere - links.size
         return links.size < share && (links.isEmpty() || free > 0) && environment.now() >= openAfter
     }
 
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
@@ -77,6 +77,15 @@
     /** Whether the member answers nothing, as after a loss of its machine. */
     var dark = false
 
+    /** Whether questions about the member itself stay unanswered. */
+    var hidesReports = false
+
+    /** Time that an opening takes. */
+    var openingTime = LATENCY
+
+    /** Connections that were opened so far. */
+    var opened = 0
+
     /** Whether session values are rejected. */
     var rejectsValues = false
 
@@ -104,7 +113,8 @@
         private var closed = false
 
         fun start() {
-            loop.schedule(LATENCY) { if (!closed && !dark) events.opened(end) }
+            opened++
+            loop.schedule(openingTime) { if (!closed && !dark) events.opened(end) }
         }
 
         override fun send(commands: List<MemberCommand>) {
@@ -117,6 +127,7 @@
 
         private fun answer(command: MemberCommand) {
             if (closed || silent || dark) return
+            if (hidesReports && command is MemberCommand.Report) silent = true
             group.beforeAnswer(command)
             val result = execute(command)
             if (silent) return
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -24,6 +24,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isTrue
 import kotlin.time.Duration
@@ -373,6 +374,37 @@
         }
     }
 
+    @Nested
+    inner class `a node that has just started` {
+        @Test
+        fun `opens one connection to a member until it knows how many others hold`() {
+            group.members[0].hidesReports = true
+            node.configure(configuration(1))
+            node.discovered(group.discovered())
+            node.start()
+            repeat(MOST_CONNECTIONS) {
+                Caller("current").send("w$it", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            }
+            loop.advance(100.milliseconds)
+            expectThat(group.members[0].opened).isEqualTo(1)
+        }
+    }
+
+    @Nested
+    inner class `connections that are slow to open` {
+        @Test
+        fun `do not make the member look slow`() {
+            group.members[0].openingTime = 150.milliseconds
+            startNode()
+            val holder = Caller("own")
+            holder.ask("b", SessionStatement.Begin(readOnly = false))
+            holder.write("held")
+            expectThat(Caller("current").write("w").result).isA<StatementResult.Completed>()
+            val lane = node.groupLanes.single().all.first { it.member.name.value == "a" }
+            expectThat(lane.serviceTime).isLessThan(10.milliseconds)
+        }
+    }
+
     @Nested
     inner class `a primary that is lost` {
         private fun losePrimary() {
