Count a question that gets no connection as unanswered while an opening waits for the member

Once the connections to it were gone, a question waited 0.4 s for a new one and ended without a word, and only the opening counted as failed, after 1.5 s, and again after 1.5 s more. Change: such a question counts as unanswered if an opening has waited for the member all that time. Where all connections that the member allows are in use, nothing is counted; any answer still takes all failures back. Ruled out: a shorter time-out of openings, which queue for a slot of a busy member.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupObserver.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupObserver.kt
@@ -67,6 +67,14 @@
         lane.borrow { link ->
             if (link == null) {
                 asked -= lane
+                val now = environment.now()
+                // Where all connections that the member allows are in use, it has not failed to answer.
+                val openingFor = lane.openingSince?.let { now - it }
+                if (openingFor != null &&
+                    openingFor >= environment.limits.report
+                ) {
+                    lane.health.failed(now, refused = false)
+                }
                 return@borrow
             }
             link.run(questions, environment.limits.report) { result ->
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
@@ -84,6 +84,9 @@
     var distance: Duration = Duration.ZERO
         private set
 
+    /** Since when the oldest opening has been waiting for the member; null where none is. */
+    val openingSince: Duration? get() = links.filter { it.openingTime == null }.minOfOrNull { it.startedAt }
+
     /** Time that the member takes for a statement, as measured. */
     val serviceTime: Duration get() = queue.load().serviceTime
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/PooledLink.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/PooledLink.kt
@@ -34,7 +34,9 @@
     private var link: MemberLink? = null
     private var batch: Batch? = null
     private var openTimer: Cancel? = null
-    private val startedAt = environment.now()
+
+    /** When the opening began. */
+    val startedAt: Duration = environment.now()
 
     /** What the member's end knows of session values and plans. */
     var memory: ConnectionMemory = ConnectionMemory()
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -24,6 +24,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isTrue
@@ -431,6 +432,16 @@
             expectThat(node.groupLanes.single().belief.primary?.value).isEqualTo("b")
         }
 
+        @Test
+        fun `fails two questions in a row before it has been silent for 1,300 ms, though its connections are gone`() {
+            startNode()
+            node.decidesFailovers = true
+            group.members[0].dark = true
+            loop.advance(1_300.milliseconds)
+            val lane = node.groupLanes.single().all.first { it.member.name.value == "a" }
+            expectThat(lane.health.failures).isGreaterThanOrEqualTo(2)
+        }
+
         @Test
         fun `holds a write back that has the time to wait for the new one`() {
             losePrimary()
