--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
@@ -31,7 +31,7 @@
 
     /** Starts to look at the groups. */
     public fun start() {
-        environment.schedule(if (keeper.heldToken == null) IDLE_INTERVAL else INTERVAL) {
+        environment.schedule(INTERVAL) {
             start()
             look()
         }
@@ -122,9 +122,6 @@
     private companion object {
         val INTERVAL = 100.milliseconds
 
-        /** Interval of the looks at whether this VM has the duty; well below the settling time that follows. */
-        val IDLE_INTERVAL = 300.milliseconds
-
         /** Time for the first reports of all members after this VM has taken the duty. */
         val SETTLING = 500.milliseconds
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveLimits.kt
@@ -23,14 +23,14 @@
  * @property attempts members that one statement is sent to at most.
  * @property readAttemptPart part of a statement's time after which a read without answer is tried elsewhere.
  * @property stalenessMargin time taken off the staleness that routes allow, for the way of the read.
+ * @property observation interval of the questions to members.
  * @property retryPause time before a statement is offered to a member again that was busy.
  * @property goneAfter time for which a member stays known after discovery lost it; entries that lapsed while the store
  * was away return within two seconds.
  * @property leavingWrites time for which a leaving primary still gets writes while another one takes over.
  * @property firstConfiguration time that a new session waits for a node that has just started; callers give up after
  * 2 s.
- * @property maintenance interval of the clean-up of connections and queues, and of the look at which members to ask.
- * Each wake-up costs a VM processor time, also when there is nothing to do.
+ * @property maintenance interval of the clean-up of connections and queues.
  */
 public data class InteractiveLimits(
     val opening: Duration = 1_500.milliseconds,
@@ -46,9 +46,10 @@
     val attempts: Int = 4,
     val readAttemptPart: Double = 0.5,
     val stalenessMargin: Duration = 150.milliseconds,
+    val observation: Duration = 100.milliseconds,
     val retryPause: Duration = 20.milliseconds,
     val goneAfter: Duration = 2_500.milliseconds,
     val leavingWrites: Duration = 5.seconds,
     val firstConfiguration: Duration = 1_500.milliseconds,
-    val maintenance: Duration = 100.milliseconds,
+    val maintenance: Duration = 50.milliseconds,
 )
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -90,12 +90,8 @@
 
     /** Starts the periodic work. */
     public fun start() {
-        repeatEvery(environment.limits.maintenance) {
-            groups.values.forEach {
-                it.maintain()
-                observer.observe(it, decidesFailovers)
-            }
-        }
+        repeatEvery(environment.limits.maintenance) { groups.values.forEach { it.maintain() } }
+        repeatEvery(environment.limits.observation) { groups.values.forEach { observer.observe(it, decidesFailovers) } }
     }
 
     /** Puts [next] in force if its number is higher than that of the current one. */
