--- a/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/explain/LogLine.kt
+++ b/kumquatknot-operations/src/main/kotlin/dev/kumquatknot/operations/explain/LogLine.kt
@@ -28,7 +28,17 @@
 
     public companion object {
         private val ownFields =
-            setOf("@timestamp", "message", "logger_name", "thread_name", "level", "event", "eventName", "@version")
+            setOf(
+                "@timestamp",
+                "@version",
+                "message",
+                "logger_name",
+                "thread_name",
+                "level",
+                "level_value",
+                "event",
+                "eventName",
+            )
 
         /**
          * Parses one line of [source]. Whatever collected the log may have put text before the JSON object. Returns
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberLane.kt
@@ -172,7 +172,7 @@
         opening--
         link.openingTime?.let { if (distance == Duration.ZERO || it < distance) distance = it }
         health.answered(environment.now())
-        putBack(link)
+        if (connectionsElsewhere == null) askForCount(link) else putBack(link)
         if (seekers.isNotEmpty()) openMore()
     }
 
@@ -197,6 +197,15 @@
         if (!opened && opening == 0) seekers.toList().also { seekers.clear() }.forEach { it.take(null) }
     }
 
+    /** Asks the member how many connections it counts before anything else may keep [link] for long. */
+    private fun askForCount(link: PooledLink) {
+        link.run(listOf(MemberCommand.Report), environment.limits.report) { result ->
+            if (result !is BatchResult.Answered) return@run
+            putBack(link)
+            if (seekers.isNotEmpty()) openMore()
+        }
+    }
+
     private fun slotsOf(member: DiscoveredMember): Int =
         (member.slots * environment.limits.slotShare).roundToInt().coerceAtLeast(1)
 
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -391,6 +391,23 @@
         }
     }
 
+    @Nested
+    inner class `a transaction that takes the first connection` {
+        @Test
+        fun `does not keep other sessions from having one`() {
+            node.configure(configuration(1))
+            node.discovered(group.discovered())
+            node.start()
+            val first = Caller("current")
+            first.send("b", SessionStatement.Begin(readOnly = false))
+            first.send("w1", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            val second = Caller("current")
+            second.send("w2", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(50.milliseconds)
+            expectThat(second.replies.map { it.result }).containsExactly(StatementResult.Completed("signature-w2"))
+        }
+    }
+
     @Nested
     inner class `connections that are slow to open` {
         @Test
