--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/OutagePatience.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/OutagePatience.kt
@@ -5,8 +5,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Decides whether work waits for a group that has lost its primary. Answers the time of a failover: what arrives shortly
- * before its end is served a little late, and what cannot be served in its time is rejected at once.
+ * Decides whether work waits for a group that has lost its primary. Answers the time of a failover: what arrives
+ * shortly before its end is served a little late, and what cannot be served in its time is rejected at once.
  */
 public class OutagePatience(private val timing: OutageTiming = OutageTiming()) {
     /**
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -101,11 +101,11 @@
         when {
             code != null && mayRepeat(code, call.access) -> again(lane, code)
             code == null && provesLead && !replies[1].isCompleted -> again(lane, RejectionCode.READ_ONLY)
-            else -> finish(lane, reply)
+            else -> finish(reply)
         }
     }
 
-    private fun finish(lane: MemberLane, reply: MemberReply) {
+    private fun finish(reply: MemberReply) {
         val written = reply.point.takeIf { call.access == StatementAccess.WRITE && reply.isCompleted }
         done(
             SingleOutcome(
