Take the log level from the system property again

Cause: the log set up in code read KUMQUATKNOT_LOG_LEVEL from the environment alone; the file before it also took the system property of that name, which the demo sets so that its pages stay readable. Change: the property goes first, then the variable, as before. Ruled out: another way for the demo, which would leave the property without effect for others. Measured: LogSetupSpec saw INFO where ERROR was set, and passes now. Conclusion: the demo prints its pages without the nodes' lines again.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/LogSetup.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/LogSetup.kt
@@ -16,8 +16,8 @@
  * Sends one JSON object a line to the standard output, through a queue that drops lines rather than block.
  *
  * It stands in code since parsing a configuration file takes a starting node 300 ms of processor time. A file that the
- * system property `logback.configurationFile` names goes before it. The variable `KUMQUATKNOT_LOG_LEVEL` sets the
- * level.
+ * system property `logback.configurationFile` names goes before it. `KUMQUATKNOT_LOG_LEVEL`, a system property or else
+ * a variable of the environment, sets the level.
  */
 public class LogSetup : ContextAwareBase(), Configurator {
     override fun configure(context: LoggerContext): ExecutionStatus {
@@ -36,10 +36,12 @@
             level = Level.WARN
             addAppender(queue)
         }
-        context.getLogger("dev.kumquatknot").level = Level.toLevel(System.getenv(LEVEL_VARIABLE), Level.INFO)
+        context.getLogger("dev.kumquatknot").level = Level.toLevel(setting(LEVEL_VARIABLE), Level.INFO)
         return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY
     }
 
+    private fun setting(name: String): String? = System.getProperty(name) ?: System.getenv(name)
+
     private fun console(context: LoggerContext) = ConsoleAppender<ILoggingEvent>().apply {
         this.context = context
         name = "json"
