One place for who leads and for a lost primary, nothing that is unused

Cause: read once more, the interactive node asked in seven places whether a lane is the primary's, and MemberSearch checked for a lost primary beside GroupLanes.primary, which handed it out all the same. Change: GroupLanes.leads and GroupLanes.primaryLane serve all; GroupLanes.primary gives no lost primary, and the search only asks for one. Unused parts are removed. Ruled out: removing FreshnessProofs.forget and latest, which specifications hold; one class for the times of the two failovers, whose meanings differ.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberCommand.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberCommand.kt
@@ -43,15 +43,6 @@
 
     /** Asks the member for its role and positions. */
     public data object Report : MemberCommand
-
-    /** Makes a replica accept [term] and receive no more of a lower one. */
-    public data class Pause(val term: Term) : MemberCommand
-
-    /** Lets a paused replica receive again. */
-    public data object Resume : MemberCommand
-
-    /** Makes a primary of a term below [term] a replica. */
-    public data class StepDown(val term: Term) : MemberCommand
 }
 
 /** State of a session after a statement. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverRunner.kt
@@ -21,7 +21,7 @@
     private val holder: String,
     private val order: OrderPromotion,
     private val executor: Executor,
-    private val metrics: InteractiveMetrics = InteractiveMetrics(),
+    private val metrics: InteractiveMetrics,
 ) {
     private val environment = node.nodeEnvironment
     private val decisions = HashMap<DatabaseName, FailoverDecision>()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FeedReader.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FeedReader.kt
@@ -32,22 +32,14 @@
     private val objects = LinkedHashMap<String, StoredObject>()
     private var failures = 0
 
-    @Volatile
-    private var stopped = false
-
     /** Starts the thread. */
     public fun start() {
         Thread(::follow, "feed-$kind").apply { isDaemon = true }.start()
     }
 
-    /** Ends the thread after its present call. */
-    public fun stop() {
-        stopped = true
-    }
-
     private fun follow() {
         try {
-            while (!stopped) readSnapshot()?.let(::followFrom)
+            while (true) readSnapshot()?.let(::followFrom)
         } catch (_: InterruptedException) {
             Thread.currentThread().interrupt()
         }
@@ -62,7 +54,7 @@
 
     private fun followFrom(first: Long) {
         var revision = first
-        while (!stopped) {
+        while (true) {
             when (val answer = answer(feed.changes(kind, revision, watchTime))) {
                 null -> Unit
                 is FeedAnswer.HistoryGone -> return
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupLanes.kt
@@ -70,16 +70,22 @@
         lanes.values.forEach { it.maintain() }
     }
 
-    /** The lane of the member believed to lead, if it may get new work; null where none is known. */
-    fun primary(): MemberLane? = belief.primary?.let { lanes[it] }?.takeIf { lane ->
+    /** Whether [lane] is that of the member believed to lead. */
+    fun leads(lane: MemberLane): Boolean = lane.member.name == belief.primary
+
+    /** The lane of the member believed to lead, if it may get new work; null where none is known or it is lost. */
+    fun primary(): MemberLane? = primaryLane?.takeIf { lane ->
         val leavingFor = lane.leavingSince?.let { environment.now() - it }
-        leavingFor == null || leavingFor < environment.limits.leavingWrites
+        (leavingFor == null || leavingFor < environment.limits.leavingWrites) && primaryLostSince() == null
     }
 
+    /** The lane of the member believed to lead, whatever its state. */
+    val primaryLane: MemberLane? get() = belief.primary?.let { lanes[it] }
+
     /** When the primary was seen last, where it is out of reach or unknown; null where it leads, or was never seen. */
     fun primaryLostSince(): Duration? {
         val seenAt = proofs.latestAskedAt ?: return null
-        val lane = belief.primary?.let { lanes[it] }
+        val lane = primaryLane
         val isDoubtful = lane == null || !belief.isProved || lane.health.failures > 0
         return seenAt.takeIf { isDoubtful && environment.now() - it > LOST_AFTER }
     }
@@ -94,17 +100,16 @@
     /** Returns the best lane for a read that needs [required], without those in [tried]; null where there is none. */
     fun reader(required: HistoryPoint, tried: Set<MemberName>): MemberLane? {
         val now = environment.now()
-        val lost = belief.primary.takeIf { primaryLostSince() != null }
+        val lost = primaryLane.takeIf { primaryLostSince() != null }
         val candidates = lanes.values
-            .filter { it.leavingSince == null && it.health.isUsable }
-            .filter { it.member.name !in tried && it.member.name != lost }
+            .filter { it.leavingSince == null && it.health.isUsable && it !== lost && it.member.name !in tried }
             .map { candidate(it, now) }
         return placement.choose(candidates, required)?.let { lanes[it.name] }
     }
 
     private fun candidate(lane: MemberLane, now: Duration) = ReadCandidate(
         name = lane.member.name,
-        primary = lane.member.name == belief.primary,
+        primary = leads(lane),
         point = lane.health.point,
         pointAge = now - lane.health.pointAt,
         expectedWait = lane.expectedWait(),
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupObserver.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupObserver.kt
@@ -17,23 +17,18 @@
         val now = environment.now()
         val troubled = group.isTroubled(now)
         group.all.forEach { lane ->
-            if (lane !in asked &&
-                (troubled || isQuiet(group, lane, now, decides))
-            ) {
-                ask(lane, questions(group, lane, decides))
-            }
+            val needed = troubled || isQuiet(group, lane, now, decides)
+            if (needed && lane !in asked) ask(lane, questions(group, lane, decides))
         }
     }
 
     private fun isQuiet(group: GroupLanes, lane: MemberLane, now: Duration, decides: Boolean): Boolean {
-        val leads = lane.member.name == group.belief.primary
+        val leads = group.leads(lane)
         val since = if (leads) group.proofs.latestAskedAt else lane.health.answeredAt
-        val limit = if (!leads) {
-            REPLICA_AGE
-        } else if (decides) {
-            DECIDER_PROOF_AGE
-        } else {
-            PROOF_AGE
+        val limit = when {
+            !leads -> REPLICA_AGE
+            decides -> DECIDER_PROOF_AGE
+            else -> PROOF_AGE
         }
         return since == null || !group.belief.isProved || lane.health.failures > 0 || now - since > limit
     }
@@ -44,7 +39,7 @@
      */
     private fun questions(group: GroupLanes, lane: MemberLane, decides: Boolean): List<MemberCommand> {
         val reportedAt = lane.health.reportedAt
-        val leads = group.belief.isProved && lane.member.name == group.belief.primary && lane.leavingSince == null
+        val leads = group.belief.isProved && group.leads(lane) && lane.leavingSince == null
         val isReportRecent = reportedAt != null && environment.now() - reportedAt < REPORT_AGE
         return if (isReportRecent && (leads || !decides)) {
             listOf(MemberCommand.Begin(readOnly = false), MemberCommand.Rollback)
@@ -54,7 +49,7 @@
     }
 
     private fun GroupLanes.isTroubled(now: Duration): Boolean {
-        val primary = all.firstOrNull { it.member.name == belief.primary } ?: return true
+        val primary = primaryLane ?: return true
         val provedAt = proofs.latestAskedAt
         return primary.leavingSince != null ||
             primary.health.failures > 0 ||
@@ -70,11 +65,8 @@
                 val now = environment.now()
                 // Where all connections that the member allows are in use, it has not failed to answer.
                 val openingFor = lane.openingSince?.let { now - it }
-                if (openingFor != null &&
-                    openingFor >= environment.limits.report
-                ) {
-                    lane.health.failed(now, refused = false)
-                }
+                val unanswered = openingFor != null && openingFor >= environment.limits.report
+                if (unanswered) lane.health.failed(now, refused = false)
                 return@borrow
             }
             link.run(questions, environment.limits.report) { result ->
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
@@ -3,11 +3,10 @@
 import dev.kumquatknot.core.databasegroup.FailoverReason
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.RejectionCode
+import dev.kumquatknot.proxy.metric.exposition
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -63,11 +62,7 @@
     }
 
     /** Returns all metrics in the text format of Prometheus. */
-    public fun exposition(): String {
-        val text = ByteArrayOutputStream()
-        PrometheusTextFormatWriter(false).write(text, registry.scrape())
-        return text.toString(Charsets.UTF_8)
-    }
+    public fun exposition(): String = registry.exposition()
 
     private fun histogram(name: String, help: String, vararg labels: String): Histogram =
         Histogram.builder().name(name).help(help).labelNames(*labels)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
@@ -41,10 +41,8 @@
     fun next(call: StatementCall, done: (SearchResult) -> Unit) {
         val needed = if (flexible) group.required(call.route, call.own) else null
         val lane = needed?.let { group.reader(it, tried) } ?: group.primary()
-        val lostSince = group.primaryLostSince()
         when {
-            lane == null || (lostSince != null && lane.member.name == group.belief.primary) ->
-                awaitPrimary(call, lostSince, done)
+            lane == null -> awaitPrimary(call, done)
             !hasMoreAttempts -> done(SearchResult.Exhausted("rejected by ${tried.joinToString()}"))
             else -> {
                 facts = AnswerFacts(
@@ -58,7 +56,8 @@
         }
     }
 
-    private fun awaitPrimary(call: StatementCall, lostSince: Duration?, done: (SearchResult) -> Unit) {
+    private fun awaitPrimary(call: StatementCall, done: (SearchResult) -> Unit) {
+        val lostSince = group.primaryLostSince()
         val now = environment.now()
         val until = if (lostSince == null) {
             call.waitsForPrimaryUntil
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/PooledLink.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/PooledLink.kt
@@ -12,8 +12,8 @@
     /** Each command was answered. */
     data class Answered(val replies: List<MemberReply>) : BatchResult
 
-    /** The connection ended after [replies]; [silent] tells whether it was given up for lack of an answer. */
-    data class Broken(val replies: List<MemberReply>, val end: LinkEnd, val silent: Boolean) : BatchResult
+    /** The connection ended after [replies]. */
+    data class Broken(val replies: List<MemberReply>, val end: LinkEnd) : BatchResult
 }
 
 /** What a [PooledLink] tells the lane that it belongs to. */
@@ -72,7 +72,7 @@
 
     fun close() {
         if (isClosed) return
-        end(LinkEnd.Broken("closed by this VM"), silent = false)
+        end(LinkEnd.Broken("closed by this VM"))
         link?.close()
     }
 
@@ -101,23 +101,23 @@
     }
 
     override fun closed(end: LinkEnd) {
-        if (!isClosed) end(end, silent = false)
+        if (!isClosed) end(end)
     }
 
     private fun giveUp(detail: String) {
         if (isClosed) return
-        end(LinkEnd.Broken(detail), silent = true)
+        end(LinkEnd.Broken(detail))
         link?.close()
     }
 
-    private fun end(end: LinkEnd, silent: Boolean) {
+    private fun end(end: LinkEnd) {
         isClosed = true
         openTimer?.invoke()
         val current = batch
         batch = null
         current?.timer?.invoke()
         owner.ended(this, end, opened = openingTime != null)
-        current?.done?.invoke(BatchResult.Broken(current.replies, end, silent))
+        current?.done?.invoke(BatchResult.Broken(current.replies, end))
     }
 
     private class Batch(
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
@@ -122,7 +122,7 @@
         call: StatementCall,
         done: (StatementResult.Rejected?) -> Unit,
     ) {
-        val atReplica = needed != null && chosen.member.name != group.belief.primary
+        val atReplica = needed != null && !group.leads(chosen)
         val begin = MemberCommand.Begin(readOnly = atReplica, after = needed.takeIf { atReplica })
         open.run(listOf(begin), environment.limits.settling) { result ->
             val reply = (result as? BatchResult.Answered)?.replies?.first()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -61,8 +61,7 @@
     }
 
     private fun run(lane: MemberLane, link: PooledLink, slot: LaneSlot, required: HistoryPoint?) {
-        val leads = lane.member.name == group.belief.primary
-        val provesLead = call.access == StatementAccess.READ && (leads || required == null)
+        val provesLead = call.access == StatementAccess.READ && (group.leads(lane) || required == null)
         val commands = if (provesLead) {
             listOf(call.command(null), MemberCommand.Begin(readOnly = false), MemberCommand.Rollback)
         } else {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/metric/NodeMetrics.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/metric/NodeMetrics.kt
@@ -13,7 +13,6 @@
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -154,11 +153,7 @@
     }
 
     /** Returns all metrics in the text format of Prometheus. */
-    public fun exposition(): String {
-        val text = ByteArrayOutputStream()
-        PrometheusTextFormatWriter(false).write(text, registry.scrape())
-        return text.toString(Charsets.UTF_8)
-    }
+    public fun exposition(): String = registry.exposition()
 
     private fun observe(team: TeamName, kind: KindConfiguration, effect: Effect, duration: Duration) {
         requestDuration
