Survive a store that comes back from a copy

Cause: after a restoration the store gives out revisions again. A conditional write of a former holder of the duty then fits the record of its successor, a watch goes on from a revision that means something else, and entries of members that have left are listed again.

Watches read all objects again in a new era. MemberHistory keeps a leaving member leaving, and brings back no run that has left or was replaced while a restored store may list it.

A process that releases the lease while it stops does not acquire it again, as it did within a second.

A node that has read nothing yet asks again every 100 ms.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/ObjectStore.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/ObjectStore.kt
@@ -49,7 +49,7 @@
 public data class ListedVm(val name: VmName, val dataCentre: DataCentre, val address: String, val state: VmState)
 
 /** Single objects with conditional writes, as used for duties. The platform counts every call. */
-public interface ConditionalStore {
+public interface ConditionalStore : EraOfStore {
     /** Reads an object; null if it does not exist. */
     public fun read(key: String): Either<StoreFailure, StoredObject?>
 
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
@@ -0,0 +1,184 @@
+package dev.kumquatknot.proxy.interactive
+
+import dev.kumquatknot.core.databasegroup.Confirmation
+import dev.kumquatknot.core.databasegroup.ConfirmationTracker
+import dev.kumquatknot.core.history.HistoryPoint
+import dev.kumquatknot.core.identity.DatabaseName
+import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.interactive.MemberCommand
+import dev.kumquatknot.proxy.event.Event
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Holds back the acknowledgement of commits until a replica of the group has received them, so that the promotion of
+ * the replica with the longest log keeps them. Replicas are polled only while a commit is unconfirmed.
+ *
+ * @param replicas the members that may take over from the primary, nearest first.
+ */
+internal class CommitConfirmer(
+    private val group: DatabaseName,
+    private val environment: NodeEnvironment,
+    private val replicas: () -> List<MemberPool>,
+) {
+    private val tracker = ConfirmationTracker(MAJORITY, environment.clock)
+    private val waiting = ArrayList<WaitingCommit>()
+    private val pollsByPool = HashMap<MemberPool, ReplicaPolls>()
+    private var oldest: UnconfirmedCommit? = null
+    private var isStallLogged = false
+    private var isPollScheduled = false
+
+    /** Time of the oldest commit that no replica has received within [STALL_TIMEOUT]; null if there is none. */
+    val stalledSince: Duration? get() = oldest?.since?.takeIf { environment.now() - it > STALL_TIMEOUT }
+
+    /**
+     * Waits until a replica has received the commit of [primary] at [point] and calls [done] once, at [deadline] at
+     * the latest. A group without replicas has none that a promotion could choose, so nothing is waited for.
+     */
+    fun await(point: HistoryPoint, primary: MemberName, deadline: Duration, done: (Confirmation) -> Unit) {
+        val decided = tracker.confirmation(point, primary)
+        if (decided != null) return done(decided)
+        if (replicas().isEmpty()) return done(Confirmation.CONFIRMED)
+        val now = environment.now()
+        val commit = WaitingCommit(UnconfirmedCommit(point, primary, now), done)
+        waiting += commit
+        if (oldest == null) oldest = commit.commit
+        commit.timer = environment.schedule(minOf(deadline - now, STALL_TIMEOUT)) {
+            if (waiting.remove(commit)) commit.done(Confirmation.DEADLINE_PASSED)
+        }
+        poll()
+    }
+
+    /** Records that the log of [member] has reached [point]. */
+    fun observe(member: MemberName, point: HistoryPoint) {
+        tracker.observe(member, point, point.term)
+        if (oldest != null) settle()
+    }
+
+    /** Decides what the new primary decides: its log has the commits of the former one, or they are lost. */
+    fun recordPrimaryChange(primary: MemberName) {
+        settle()
+        val superseded = waiting.filter { it.commit.primary != primary }
+        waiting -= superseded.toSet()
+        if (oldest?.primary != primary) oldest = waiting.firstOrNull()?.commit
+        superseded.forEach { it.complete(Confirmation.SUPERSEDED) }
+        logResumption()
+    }
+
+    private fun settle() {
+        val decided = waiting.mapNotNull { commit -> decisionOf(commit.commit)?.let { commit to it } }
+        waiting -= decided.map { it.first }.toSet()
+        if (oldest?.let(::decisionOf) != null) oldest = waiting.firstOrNull()?.commit
+        decided.forEach { (commit, confirmation) -> commit.complete(confirmation) }
+        logResumption()
+    }
+
+    private fun decisionOf(commit: UnconfirmedCommit) = tracker.confirmation(commit.point, commit.primary)
+
+    private fun poll() {
+        val commit = oldest ?: return
+        val candidates = replicas()
+        if (candidates.isEmpty()) oldest = null
+        pollsByPool.keys.retainAll(candidates.toSet())
+        val now = environment.now()
+        val polled = if (now - commit.since < SECOND_REPLICA_DELAY) candidates.take(1) else candidates
+        polled.forEach { pool ->
+            pollsByPool.getOrPut(pool) { ReplicaPolls() }.let { if (!it.isPending) send(pool, it) }
+        }
+        logStall(commit)
+        scheduleNext()
+    }
+
+    private fun scheduleNext() {
+        if (isPollScheduled) return
+        isPollScheduled = true
+        environment.schedule(if (waiting.isEmpty()) STALLED_POLL_INTERVAL else POLL_INTERVAL) {
+            isPollScheduled = false
+            poll()
+        }
+    }
+
+    private fun send(pool: MemberPool, polls: ReplicaPolls) {
+        polls.isPending = true
+        val now = environment.now()
+        val unconfirmedFor = oldest?.let { now - it.since } ?: Duration.ZERO
+        val reports = unconfirmedFor > APPLICATION_TIME || now < polls.reportsUntil
+        pool.acquireLink { link ->
+            if (link == null) {
+                polls.isPending = false
+                return@acquireLink
+            }
+            link.run(if (reports) REPORT else APPLIED_POSITION, environment.limits.reportTimeout) { result ->
+                polls.isPending = false
+                if (result is BatchResult.Answered) pool.releaseLink(link)
+                val isConfirmed = oldest?.let { it.since > now } ?: true
+                if (reports && isConfirmed) polls.reportsUntil = environment.now() + REPORT_PERIOD
+            }
+        }
+    }
+
+    private fun logStall(commit: UnconfirmedCommit) {
+        val since = stalledSince
+        if (since == null || isStallLogged) return
+        isStallLogged = true
+        environment.events.log(
+            Event.REPLICATION_STALLED,
+            "group" to group.value,
+            "primary" to commit.primary.value,
+            "point" to commit.point.toString(),
+            "sinceMs" to (environment.now() - since).inWholeMilliseconds,
+        )
+    }
+
+    private fun logResumption() {
+        if (!isStallLogged || oldest != null) return
+        isStallLogged = false
+        environment.events.log(Event.REPLICATION_RESUMED, "group" to group.value)
+    }
+
+    private class UnconfirmedCommit(val point: HistoryPoint, val primary: MemberName, val since: Duration)
+
+    private class WaitingCommit(val commit: UnconfirmedCommit, val done: (Confirmation) -> Unit) {
+        var timer: Cancel? = null
+
+        fun complete(confirmation: Confirmation) {
+            timer?.invoke()
+            done(confirmation)
+        }
+    }
+
+    private class ReplicaPolls {
+        var isPending = false
+        var reportsUntil = -Duration.INFINITE
+    }
+
+    private companion object {
+        /** With the primary, one replica is a majority of a group of three. */
+        const val MAJORITY = 2
+
+        /** Time without a confirmation after which the primary counts as cut off from its replicas. */
+        val STALL_TIMEOUT: Duration = 1.seconds
+
+        /** Time that the nearest replica has before the others are polled too. */
+        val SECOND_REPLICA_DELAY = 40.milliseconds
+
+        /** Interval of polls while a commit waits. */
+        val POLL_INTERVAL = 10.milliseconds
+
+        /** Interval of polls once nobody waits and only the resumption of the replication is of interest. */
+        val STALLED_POLL_INTERVAL = 100.milliseconds
+
+        /**
+         * Time that replicas usually take to apply a commit. The position that a replica has applied comes without the
+         * use of a slot; the one that it has received, which may be far ahead, needs a report.
+         */
+        val APPLICATION_TIME = 40.milliseconds
+
+        /** Time for which a replica that applied too late is asked for reports at once. */
+        val REPORT_PERIOD = 1.seconds
+
+        val REPORT = listOf(MemberCommand.Report)
+        val APPLIED_POSITION = listOf(MemberCommand.Begin(readOnly = true), MemberCommand.Rollback)
+    }
+}
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewer.kt
@@ -6,6 +6,7 @@
 import dev.kumquatknot.core.duty.LeaseStep
 import dev.kumquatknot.core.platform.ConditionalStore
 import dev.kumquatknot.core.platform.ObjectVersion
+import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.core.platform.StoreFailure
 import dev.kumquatknot.core.platform.StoredObject
 import dev.kumquatknot.core.time.Clock
@@ -22,10 +23,10 @@
  * Acquires and renews the lease of one duty in the platform's store. Its store calls block the [executor], which must
  * have one thread.
  *
- * @param key key of the duty's record in the store.
+ * @param duty key of the duty's records in the store; each era of the store has a record of its own.
  */
 public class DutyLeaseRenewer(
-    private val key: String,
+    private val duty: String,
     self: String,
     private val store: ConditionalStore,
     private val executor: ScheduledExecutorService,
@@ -35,6 +36,7 @@
     private val lease = DutyLease(self, LEASE_DURATION)
     private var version = ObjectVersion.ABSENT
     private var wasHeld = false
+    private var isReleased = false
 
     @Volatile
     private var token: HeldToken? = null
@@ -59,12 +61,17 @@
         }
     }
 
-    /** Releases the lease, so that another VM can acquire it at once. */
+    /** Releases the lease for good, so that another VM can acquire it at once and this one does not do so again. */
     public fun release() {
+        isReleased = true
         lease.releasedRecord()?.let(::write)
     }
 
+    private val key: String get() = if (lease.era == StoreEra.UNKNOWN) duty else "$duty-${lease.era}"
+
     private fun renewOrObserve() {
+        if (isReleased) return
+        enterCurrentEra()
         val renewed = lease.renewedRecord()
         if (renewed != null) write(renewed) else observeRecord(store::readStale)
     }
@@ -72,24 +79,37 @@
     /** Observes the record with [read]; before it acquires the lease, it confirms this by a consistent read. */
     private fun observeRecord(read: (String) -> Either<StoreFailure, StoredObject?>) {
         val stored = read(key).fold({ return updateHeldToken() }, { it })
-        val step = lease.observe(stored?.let(::decode), clock.elapsed())
-        if (step is LeaseStep.Write) {
-            store.read(key).onRight { current ->
-                version = current?.version ?: ObjectVersion.ABSENT
-                val confirmed = lease.observe(current?.let(::decode), clock.elapsed())
-                if (confirmed is LeaseStep.Write) write(confirmed.record)
-            }
-        }
+        if (enterCurrentEra()) return updateHeldToken()
+        val step = lease.observe(stored?.let(::decode), clock.elapsed(), isStale = true)
+        if (step is LeaseStep.Write) store.read(key).onRight(::acquire)
         updateHeldToken()
     }
 
+    private fun acquire(current: StoredObject?) {
+        if (enterCurrentEra()) return
+        version = current?.version ?: ObjectVersion.ABSENT
+        val confirmed = lease.observe(current?.let(::decode), clock.elapsed())
+        if (confirmed is LeaseStep.Write) write(confirmed.record)
+    }
+
+    /** Returns whether the store has entered another era, in which nothing that was read or written before counts. */
+    private fun enterCurrentEra(): Boolean {
+        val current = store.era
+        if (current == lease.era) return false
+        lease.enterEra(current)
+        version = ObjectVersion.ABSENT
+        return true
+    }
+
     private fun write(record: DutyRecord) {
         val sentAt = clock.elapsed()
         store.write(key, Json.encodeToString(DutyRecord.serializer(), record), version).fold(
-            { failure -> handleWriteFailure(failure) },
+            { failure -> if (!enterCurrentEra()) handleWriteFailure(failure) },
             { stored ->
-                version = stored.version
-                lease.recordWrite(record, sentAt)
+                if (!enterCurrentEra()) {
+                    version = stored.version
+                    lease.recordWrite(record, sentAt)
+                }
             },
         )
         updateHeldToken()
@@ -110,7 +130,12 @@
         token = value?.let { HeldToken(it, lease.heldUntil ?: now) }
         if (wasHeld == (value != null)) return
         wasHeld = value != null
-        events.log(if (wasHeld) Event.DUTY_TAKEN else Event.DUTY_LOST, "duty" to key, "token" to value)
+        events.log(
+            if (wasHeld) Event.DUTY_TAKEN else Event.DUTY_LOST,
+            "duty" to duty,
+            "token" to value,
+            "era" to lease.era.value,
+        )
     }
 
     private fun decode(stored: StoredObject): DutyRecord? = try {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -8,15 +8,18 @@
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.MemberCommand
+import dev.kumquatknot.core.interactive.MemberHistory
 import dev.kumquatknot.core.interactive.MemberReply
 import dev.kumquatknot.core.interactive.ReadCandidate
 import dev.kumquatknot.core.interactive.ReadConsistency
 import dev.kumquatknot.core.interactive.ReadPlacement
 import dev.kumquatknot.core.interactive.RejectionCode
 import dev.kumquatknot.core.interactive.StatementAccess
+import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.proxy.event.Event
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Connection pools for the members of one group, with the believed primary and the proofs of replica freshness. */
 internal class GroupPools(
@@ -28,18 +31,25 @@
 ) {
     private val pools = LinkedHashMap<MemberName, MemberPool>()
     private val placement = ReadPlacement()
+    private val history = MemberHistory()
+    private var replicasLaggedAt = -Duration.INFINITE
 
     val belief = PrimaryTracker()
     val proofs = FreshnessProofs()
 
+    /** Waits for the replication of commits. */
+    val confirmer = CommitConfirmer(group, environment, ::successors)
+
     /** All pools, including those of leaving members. */
     val all: Collection<MemberPool> get() = pools.values
 
     /**
-     * Applies [members] from discovery; members that are no longer listed stay until [InteractiveLimits.removalDelay].
+     * Applies the members that discovery [listed] in an [era] of the store; members that are no longer listed stay
+     * until [InteractiveLimits.removalDelay].
      */
-    fun updateMembers(members: List<DiscoveredMember>) {
+    fun updateMembers(listed: List<DiscoveredMember>, era: StoreEra) {
         val now = environment.now()
+        val members = history.reconcile(listed, era, now)
         members.forEach { member ->
             val known = pools[member.name]
             if (known != null && known.member.isSameLifeAs(member)) {
@@ -72,6 +82,10 @@
         pools.values.forEach { it.maintain() }
     }
 
+    /** Describes to a caller that writes are rejected as no replica has received commits [since] that time. */
+    fun describeStall(since: Duration): String =
+        "no replica of $group has received its primary's commits for ${environment.now() - since}"
+
     /** Whether [pool] belongs to the believed primary. */
     fun leads(pool: MemberPool): Boolean = pool.member.name == belief.primary
 
@@ -113,9 +127,17 @@
         val candidates = pools.values
             .filter { it.leavingSince == null && it.health.isUsable && it !== lost && it.member.name !in tried }
             .map { candidate(it, now) }
-        return placement.choose(candidates, required)?.let { pools[it.name] }
+        val chosen = placement.choose(candidates, required)?.let { pools[it.name] }
+        if (chosen == null || leads(chosen)) replicasLaggedAt = now
+        return chosen
     }
 
+    /** Whether replicas were too far behind for a read lately, so that older proofs would let more of them serve. */
+    val needsFrequentProofs: Boolean get() = environment.now() - replicasLaggedAt < LAG_PERIOD
+
+    private fun successors(): List<MemberPool> =
+        pools.values.filter { !leads(it) && it.leavingSince == null }.sortedBy { it.distance }
+
     private fun candidate(pool: MemberPool, now: Duration) = ReadCandidate(
         name = pool.member.name,
         primary = leads(pool),
@@ -133,7 +155,9 @@
             pool.health.recordReport(report, environment.now())
             pool.updateConnectionCount(report.connections)
             if (!report.primary) disprove(pool, sentAt)
+            confirmer.observe(name, report.received)
         }
+        point?.let { confirmer.observe(name, it) }
         if (reply.rejection == RejectionCode.READ_ONLY) {
             disprove(pool, sentAt)
             return
@@ -141,6 +165,7 @@
         if (!reply.isCompleted || point == null || !provesLead(command, reply)) return
         if (belief.prove(name, sentAt)) {
             proofs.recordPrimaryChange(point, sentAt)
+            confirmer.recordPrimaryChange(name)
             logBelief(Event.PRIMARY_PROVED, pool, sentAt)
         } else if (belief.primary == name) {
             proofs.record(point, sentAt)
@@ -183,5 +208,8 @@
     private companion object {
         /** Time without a response of the primary after which it counts as lost; by then two polls went unanswered. */
         val PRIMARY_LOSS_TIMEOUT = 800.milliseconds
+
+        /** Time after a read found no replica that was recent enough for which replicas count as lagging. */
+        val LAG_PERIOD = 2.seconds
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -5,7 +5,9 @@
 import dev.kumquatknot.core.identity.Region
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.InteractiveConfiguration
+import dev.kumquatknot.core.interactive.MemberHistory
 import dev.kumquatknot.core.interactive.RejectionCode
+import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.event.EventLog
@@ -65,6 +67,7 @@
         onEnd = { sessions.remove(it) },
     )
     private var members: List<DiscoveredMember>? = null
+    private var membersEra = StoreEra.UNKNOWN
     private var closing = false
 
     /** The configuration in force. */
@@ -110,9 +113,15 @@
         openWaitingSessions()
     }
 
-    /** Replaces the discovered members with [next]. */
-    public fun updateMembers(next: List<DiscoveredMember>) {
+    /** Replaces the discovered members with [next], which the store listed in [era]. */
+    public fun updateMembers(next: List<DiscoveredMember>, era: StoreEra = StoreEra.UNKNOWN) {
+        if (members != null && era > membersEra) {
+            environment.schedule(MemberHistory.RESTORED_ENTRY_LIFETIME + environment.limits.pollInterval) {
+                distributeMembers()
+            }
+        }
         members = next
+        membersEra = era
         distributeMembers()
         openWaitingSessions()
     }
@@ -166,7 +175,7 @@
 
     private fun group(name: DatabaseName): GroupPools = groups.getOrPut(name) {
         newGroup(name)
-            .also { it.updateMembers(members.orEmpty().filter { member -> member.group == name }) }
+            .also { it.updateMembers(members.orEmpty().filter { member -> member.group == name }, membersEra) }
     }
 
     private fun newGroup(name: DatabaseName) = GroupPools(
@@ -180,7 +189,7 @@
     private fun distributeMembers() {
         val known = members ?: return
         val byGroup = known.groupBy { it.group }
-        groups.forEach { (name, group) -> group.updateMembers(byGroup[name].orEmpty()) }
+        groups.forEach { (name, group) -> group.updateMembers(byGroup[name].orEmpty(), membersEra) }
     }
 
     private fun isRemote(member: DiscoveredMember): Boolean =
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
@@ -2,6 +2,8 @@
 
 import arrow.core.Either
 import dev.kumquatknot.core.platform.ObjectChange
+import dev.kumquatknot.core.platform.ObjectSnapshot
+import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.core.platform.StoreFailure
 import dev.kumquatknot.core.platform.StoredObject
 import dev.kumquatknot.core.platform.WatchResult
@@ -18,18 +20,22 @@
  * While the store does not answer, the objects read last stay in force.
  *
  * @param watchTimeout time that one call waits for changes; also bounds how long a silent connection hides changes.
- * @param onObjects called on the watcher's thread with all objects, after each change.
+ * @param changeInterval minimum time between two calls that return changes. Objects of many writers change all the
+ * time; without it, the calls of all VMs together would grow with the product of VMs and writers.
+ * @param onObjects called on the watcher's thread with all objects and the era of the store, after each change.
  */
 public class ObjectWatcher(
     private val kind: String,
     private val feed: WatchableObjects,
     private val events: EventLog,
     private val watchTimeout: Duration,
+    private val changeInterval: Duration = Duration.ZERO,
     private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) },
-    private val onObjects: (Collection<StoredObject>) -> Unit,
+    private val onObjects: (Collection<StoredObject>, StoreEra) -> Unit,
 ) {
     private val objects = LinkedHashMap<String, StoredObject>()
     private var failures = 0
+    private var hasRead = false
 
     /** Starts the watching daemon thread. */
     public fun start() {
@@ -38,46 +44,56 @@
 
     private fun watch() {
         try {
-            while (true) readSnapshot()?.let(::watchFrom)
+            while (true) readSnapshot()?.let { watchFrom(it.revision, it.era) }
         } catch (_: InterruptedException) {
             Thread.currentThread().interrupt()
         }
     }
 
-    private fun readSnapshot(): Long? = valueOrPause(feed.snapshot(kind))?.let { snapshot ->
+    private fun readSnapshot(): ObjectSnapshot? = valueOrPause(feed.snapshot(kind))?.also { snapshot ->
         objects.clear()
         snapshot.objects.associateByTo(objects) { it.key }
-        onObjects(objects.values.toList())
-        snapshot.revision
+        hasRead = true
+        onObjects(objects.values.toList(), snapshot.era)
     }
 
-    private fun watchFrom(first: Long) {
+    /** Watches until the store no longer has the history since [first], or has entered another era than [era]. */
+    private fun watchFrom(first: Long, era: StoreEra) {
         var revision = first
         while (true) {
             when (val answer = valueOrPause(feed.changes(kind, revision, watchTimeout))) {
                 null -> Unit
                 is WatchResult.RevisionCompacted -> return
                 is WatchResult.Changed -> {
+                    if (answer.era != era) return
                     revision = answer.revision
-                    answer.changes.forEach(::apply)
-                    if (answer.changes.isNotEmpty()) onObjects(objects.values.toList())
+                    if (answer.changes.isNotEmpty()) apply(answer.changes, era)
                 }
             }
         }
     }
 
+    private fun apply(changes: List<ObjectChange>, era: StoreEra) {
+        changes.forEach(::apply)
+        onObjects(objects.values.toList(), era)
+        if (changeInterval.isPositive()) pause(changeInterval)
+    }
+
     private fun apply(change: ObjectChange) {
         if (change.removed) objects.remove(change.stored.key) else objects[change.stored.key] = change.stored
     }
 
-    /** Returns the value of [result]; on a failure pauses with a growing delay and returns null. */
+    /**
+     * Returns the value of [result]; on a failure pauses and returns null. The delay grows once the objects have been
+     * read; a process that has none yet can serve nothing.
+     */
     private fun <T> valueOrPause(result: Either<StoreFailure, T>): T? = result.fold(
         { failure ->
             failures++
             if (failures == FAILURES_BEFORE_LOGGING) {
                 events.log(Event.STORE_UNAVAILABLE, "call" to "feed $kind", "detail" to failure.toString())
             }
-            pause(minOf(INITIAL_RETRY_DELAY * failures, MAXIMUM_RETRY_DELAY))
+            pause(if (hasRead) minOf(INITIAL_RETRY_DELAY * failures, MAXIMUM_RETRY_DELAY) else INITIAL_RETRY_DELAY)
             null
         },
         { value ->
