Acknowledge a commit once a replica has received it

Change: CommitConfirmer polls the replicas while a commit waits. Without a confirmation the outcome is in doubt, and after 1 s writes to the primary are rejected as not run, open transactions that have written are rolled back at their commit, and the duty holder replaces the primary if both replicas report.

A failover uses reports of at most 300 ms, not 800, and the applied position too: an older report hid a commit that the replica had confirmed since. It no longer waits for ever for a replica whose slots are all in use.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
@@ -13,7 +13,7 @@
  * @property failingSince time since which every request to it has failed; null where the last one was answered.
  * @property failures consecutive failed requests, each on a connection of its own.
  * @property refusing whether its address refuses connections, as after a crash of the process.
- * @property received end of the log that it has received, according to its last report.
+ * @property received end of the log that it is known to have received.
  * @property reportedAt time at which that report arrived; null where there is none.
  */
 public data class ObservedMember(
@@ -32,6 +32,7 @@
     PRIMARY_SILENT,
     PRIMARY_REFUSING,
     PRIMARY_LEAVING,
+    REPLICATION_STALLED,
     NO_PRIMARY,
 }
 
@@ -47,6 +48,8 @@
     private var orderedCandidate: MemberName? = null
     private var lastOrderAt = Duration.ZERO
     private var noPrimarySince: Duration? = null
+    private var reasonSince: Duration? = null
+    private var lastStallOrderAt = -Duration.INFINITE
 
     /** Records that the promotion of [candidate] was ordered at [now]. */
     public fun recordOrder(candidate: MemberName, now: Duration) {
@@ -59,23 +62,51 @@
         orderedCandidate = null
     }
 
-    /** Returns the order to give at [now], or null; [proved] tells whether [primary] has proved its role. */
+    /**
+     * Returns the order to give at [now], or null.
+     *
+     * @param proved whether [primary] has proved its role.
+     * @param replicationStalledSince time since which no replica has received what the primary commits; null if one
+     * has.
+     */
     public fun decide(
         members: List<ObservedMember>,
         primary: MemberName?,
         proved: Boolean,
         now: Duration,
+        replicationStalledSince: Duration? = null,
     ): FailoverOrder? {
-        if (orderedCandidate != null && orderedCandidate == primary && proved) orderedCandidate = null
+        if (orderedCandidate == primary && proved) orderedCandidate = null
         if (orderedCandidate != null && now - lastOrderAt < timing.orderTimeout) return null
-        val reason = reasonFor(members.firstOrNull { it.name == primary }, proved, now) ?: return null
-        val candidates = members.filter { it.name != primary && !it.leaving && isResponding(it, now) }
-        val reportMissing = members.any { it.name != primary && !it.leaving && mayRespondSoon(it, now) }
-        if (reportMissing) return null
+        val reason = reasonFor(members.firstOrNull { it.name == primary }, proved, now)
+            ?: stallReason(replicationStalledSince, now)
+        reasonSince = if (reason == null) null else reasonSince ?: now
+        return reason?.let { choose(members.filter { it.name != primary && !it.leaving }, it, now) }
+    }
+
+    private fun choose(replicas: List<ObservedMember>, reason: FailoverReason, now: Duration): FailoverOrder? {
+        val isReportMissing = replicas.any { mayRespondSoon(it, now) }
+        if (isReportMissing && now - (reasonSince ?: now) < timing.reportWait) return null
+        val candidates = replicas.filter { isResponding(it, now) }
+        if (reason == FailoverReason.REPLICATION_STALLED) {
+            if (candidates.size < REPLICAS_AFTER_STALL) return null
+            lastStallOrderAt = now
+        }
         return candidates.mapNotNull { member -> member.received?.let { FailoverOrder(member.name, it, reason) } }
             .maxWithOrNull(compareBy<FailoverOrder> { it.received }.thenBy { it.candidate })
     }
 
+    /**
+     * A primary that no replica can follow commits what nobody may acknowledge. Another order soon after would not
+     * help, as then the replicas themselves receive nothing.
+     */
+    private fun stallReason(since: Duration?, now: Duration): FailoverReason? {
+        val isStalled = since != null && now - since > timing.stallTimeout
+        return FailoverReason.REPLICATION_STALLED.takeIf {
+            isStalled && now - lastStallOrderAt > timing.stallOrderInterval
+        }
+    }
+
     private fun reasonFor(primary: ObservedMember?, proved: Boolean, now: Duration): FailoverReason? {
         if (primary == null) {
             val since = noPrimarySince ?: now.also { noPrimarySince = it }
@@ -103,6 +134,12 @@
 
     private companion object {
         const val MINIMUM_FAILURES = 2
+
+        /**
+         * Replicas that must report before a primary that still answers is replaced: a single one may lack commits that
+         * another replica has confirmed, and the primary itself would lose them.
+         */
+        const val REPLICAS_AFTER_STALL = 2
     }
 }
 
@@ -112,13 +149,21 @@
  * @property silenceTimeout time without any answer from a primary after which it counts as lost.
  * @property refusalTimeout time for which a primary's address refuses connections before it counts as crashed.
  * @property noPrimaryTimeout time without a known primary after which a replica is promoted.
- * @property maximumReportAge age up to which a replica's report is used.
+ * @property maximumReportAge age up to which a replica's report is used; older ones may lack commits that another
+ * replica has confirmed since.
+ * @property reportWait time for which a failover waits for the report of a replica that answers without one, as a
+ * replica does whose slots are all in use.
  * @property orderTimeout time that an order has to take effect before another one is given.
+ * @property stallTimeout time for which no replica received the primary's commits before it is replaced.
+ * @property stallOrderInterval minimum time between two orders for that reason.
  */
 public data class FailoverTiming(
     val silenceTimeout: Duration = 1_200.milliseconds,
     val refusalTimeout: Duration = 400.milliseconds,
     val noPrimaryTimeout: Duration = 2_000.milliseconds,
-    val maximumReportAge: Duration = 800.milliseconds,
+    val maximumReportAge: Duration = 300.milliseconds,
+    val reportWait: Duration = 800.milliseconds,
     val orderTimeout: Duration = 3_500.milliseconds,
+    val stallTimeout: Duration = 1_500.milliseconds,
+    val stallOrderInterval: Duration = 10_000.milliseconds,
 )
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PrimaryTracker.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PrimaryTracker.kt
@@ -21,6 +21,9 @@
     /** Whether [primary] has proved that it is the primary and has not been disproved since. */
     public val isProved: Boolean get() = proved != null
 
+    /** Whether a member had proved that it is the primary and refused to act as such later. */
+    public val isDisproved: Boolean get() = proved == null && lastProved != null
+
     /** Records that [member] acted as primary on a request sent at [sentAt]; returns whether the primary changed. */
     public fun prove(member: MemberName, sentAt: Duration): Boolean {
         if (proved != member && sentAt < lastEvidenceAt) return false
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecisionSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecisionSpec.kt
@@ -33,7 +33,8 @@
     private fun failing(name: String, since: Duration, refusing: Boolean = false, failures: Int = 3) =
         healthy(name).copy(failingSince = now - since, failures = failures, refusing = refusing)
 
-    private fun decide(vararg members: ObservedMember) = decision.decide(members.toList(), primary, true, now)
+    private fun decide(vararg members: ObservedMember, stalledFor: Duration? = null, at: Duration = now) =
+        decision.decide(members.toList(), primary, true, at, stalledFor?.let { at - it })
 
     @Nested
     inner class `no order is given` {
@@ -58,6 +59,31 @@
             expectThat(decide(failing("primary", 5.seconds), healthy("b"), silent)).isNull()
         }
 
+        @Test
+        fun `on a report that may lack what another replica has confirmed since`() {
+            val outdated = healthy("b").copy(reportedAt = now - 400.milliseconds)
+            expectThat(decide(failing("primary", 5.seconds), outdated)).isNull()
+        }
+
+        @Test
+        fun `while replicas are only slow to receive`() {
+            val members = arrayOf(healthy("primary"), healthy("b"), healthy("c"))
+            expectThat(decide(*members, stalledFor = 1_200.milliseconds)).isNull()
+        }
+
+        @Test
+        fun `for a stalled replication to a single replica, which may lack commits that another one confirmed`() {
+            val lost = failing("c", 5.seconds)
+            expectThat(decide(healthy("primary"), healthy("b"), lost, stalledFor = 2.seconds)).isNull()
+        }
+
+        @Test
+        fun `for a stalled replication again within ten seconds, as another primary has not helped`() {
+            val members = arrayOf(healthy("primary"), healthy("b"), healthy("c"))
+            expectThat(decide(*members, stalledFor = 2.seconds)).isNotNull()
+            expectThat(decide(*members, stalledFor = 6.seconds)).isNull()
+        }
+
         @Test
         fun `while an earlier order may still take effect`() {
             decision.recordOrder(MemberName("b"), now - 1.seconds)
@@ -73,6 +99,16 @@
             expectThat(order).isNotNull().get { candidate }.isEqualTo(MemberName("c"))
         }
 
+        @Test
+        fun `does not wait for ever for a replica that answers but reports nothing, as its slots are in use`() {
+            val busy = healthy("c").copy(reportedAt = now - 5.seconds)
+            decide(failing("primary", 2.seconds), healthy("b"), busy)
+            val later = now + 800.milliseconds
+            val fresh = healthy("b").copy(reportedAt = later)
+            val order = decide(failing("primary", 2.seconds), fresh, busy, at = later)
+            expectThat(order).isNotNull().get { candidate }.isEqualTo(MemberName("b"))
+        }
+
         @Test
         fun `skips a replica that is leaving`() {
             val leaving = healthy("c", received = 12, leaving = true)
@@ -92,6 +128,12 @@
             expectThat(order).isNotNull().get { reason }.isEqualTo(FailoverReason.PRIMARY_LEAVING)
         }
 
+        @Test
+        fun `replaces a primary whose commits no replica receives`() {
+            val order = decide(healthy("primary"), healthy("b"), healthy("c"), stalledFor = 2.seconds)
+            expectThat(order).isNotNull().get { reason }.isEqualTo(FailoverReason.REPLICATION_STALLED)
+        }
+
         @Test
         fun `is repeated if the first one had no effect`() {
             decision.recordOrder(MemberName("b"), now - 4.seconds)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
@@ -55,7 +55,8 @@
     private fun decide(group: GroupPools, token: Long, now: Duration) {
         val decision = decisions.getOrPut(group.group) { FailoverDecision() }
         val facts = group.all.map { it.toFacts() }
-        val next = decision.decide(facts, group.belief.primary, group.belief.isProved, now) ?: return
+        val stalledSince = group.confirmer.stalledSince
+        val next = decision.decide(facts, group.belief.primary, group.belief.isProved, now, stalledSince) ?: return
         decision.recordOrder(next.candidate, now)
         groupsBeingOrdered += group.group
         if (token > lastUsedToken) {
@@ -116,7 +117,7 @@
         failingSince = health.failingSince,
         failures = health.failures,
         refusing = health.refusing,
-        received = health.report?.received,
+        received = listOfNotNull(health.report?.received, health.point).maxOrNull(),
         reportedAt = health.reportedAt,
     )
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
@@ -32,6 +32,7 @@
     private var pool: MemberPool? = null
     private var link: PooledLink? = null
     private var connectedFor: RequestId? = null
+    private var hasWritten = false
 
     /** Routing details of [call]; a statement that reused the transaction's connection has a wait of zero. */
     fun facts(call: StatementCall): RoutingDetails =
@@ -52,6 +53,8 @@
         when {
             readOnly && call.access == StatementAccess.WRITE ->
                 fail(RejectionCode.READ_ONLY, "the transaction only reads", done)
+            call.access == StatementAccess.WRITE && group.confirmer.stalledSince != null ->
+                failStalled(done)
             connection == null -> begin(call) { problem ->
                 if (problem == null) run(call, done) else fail(problem, done)
             }
@@ -70,10 +73,11 @@
                 if (problem == null) commit(call, done) else fail(problem) { done(it, null) }
             }
             connection.isClosed -> fail(RejectionCode.ABORTED, "the connection to $member has ended") { done(it, null) }
+            hasWritten && group.confirmer.stalledSince != null -> failStalled { done(it, null) }
             else -> connection.run(
                 listOf(MemberCommand.Commit(call.request, call.text)),
                 call.deadline - environment.now(),
-            ) { committed(connection, it, done) }
+            ) { committed(connection, it, call, done) }
         }
     }
 
@@ -157,7 +161,10 @@
         val remaining = (call.deadline - environment.now()).coerceAtLeast(environment.limits.retryDelay)
         connection.run(listOf(call.command(null)), remaining) { result ->
             when (result) {
-                is BatchResult.Answered -> answered(connection, result.replies.first(), done)
+                is BatchResult.Answered -> {
+                    if (call.access == StatementAccess.WRITE) hasWritten = true
+                    answered(connection, result.replies.first(), done)
+                }
                 is BatchResult.Broken -> fail(RejectionCode.ABORTED, "$member: ${result.end}", done)
             }
         }
@@ -178,7 +185,12 @@
         }
     }
 
-    private fun committed(connection: PooledLink, result: BatchResult, done: (SessionReply, HistoryPoint?) -> Unit) {
+    private fun committed(
+        connection: PooledLink,
+        result: BatchResult,
+        call: StatementCall,
+        done: (SessionReply, HistoryPoint?) -> Unit,
+    ) {
         link = null
         when (result) {
             is BatchResult.Broken -> {
@@ -190,11 +202,32 @@
                 val reply = result.replies.first()
                 if (reply.state == TransactionState.IDLE) pool?.releaseLink(connection) else connection.close()
                 val written = reply.point.takeIf { reply.isCompleted && !readOnly }
-                done(SessionReply(reply.rows, reply.result, TransactionState.IDLE), written)
+                if (written == null || !hasWritten) {
+                    done(SessionReply(reply.rows, reply.result, TransactionState.IDLE), written)
+                } else {
+                    confirm(reply, written, call, done)
+                }
             }
         }
     }
 
+    private fun confirm(
+        reply: MemberReply,
+        written: HistoryPoint,
+        call: StatementCall,
+        done: (SessionReply, HistoryPoint?) -> Unit,
+    ) {
+        val primary = checkNotNull(member) { "a transaction that has committed has a member" }
+        group.confirmer.await(written, primary, call.deadline) { confirmation ->
+            val result = reply.result.confirmedBy(confirmation, written)
+            val rows = reply.rows.takeIf { result is StatementResult.Completed }.orEmpty()
+            done(SessionReply(rows, result, TransactionState.IDLE), written)
+        }
+    }
+
+    private fun failStalled(done: (SessionReply) -> Unit) =
+        fail(RejectionCode.ABORTED, group.describeStall(group.confirmer.stalledSince ?: environment.now()), done)
+
     private fun fail(code: RejectionCode, detail: String, done: (SessionReply) -> Unit) =
         fail(StatementResult.Rejected(code, detail), done)
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -30,7 +30,13 @@
     )
     private var lastCode = RejectionCode.BUSY
 
-    fun start() = search.next(call) { result ->
+    fun start() {
+        val stalledSince = group.confirmer.stalledSince.takeIf { call.access == StatementAccess.WRITE }
+        if (stalledSince != null) return fail(RejectionCode.BUSY, group.describeStall(stalledSince))
+        search.next(call, ::found)
+    }
+
+    private fun found(result: SearchResult) {
         when (result) {
             is SearchResult.Found -> offer(result.pool, result.required)
             is SearchResult.Exhausted -> fail(lastCode, result.detail)
@@ -100,19 +106,21 @@
         when {
             code != null && mayRetry(code, call.access) -> retry(pool, code)
             code == null && provesLead && !replies[1].isCompleted -> retry(pool, RejectionCode.READ_ONLY)
-            else -> finish(reply)
+            else -> finish(pool, reply)
         }
     }
 
-    private fun finish(reply: MemberReply) {
+    private fun finish(pool: MemberPool, reply: MemberReply) {
         val written = reply.point.takeIf { call.access == StatementAccess.WRITE && reply.isCompleted }
-        done(
-            StatementOutcome(
-                SessionReply(reply.rows, reply.result, TransactionState.IDLE),
-                written,
-                search.facts,
-            ),
-        )
+        if (written == null) return answer(reply.rows, reply.result, null)
+        group.confirmer.await(written, pool.member.name, call.deadline) { confirmation ->
+            answer(reply.rows, reply.result.confirmedBy(confirmation, written), written)
+        }
+    }
+
+    private fun answer(rows: List<String>, result: StatementResult, written: HistoryPoint?) {
+        val shown = rows.takeIf { result is StatementResult.Completed }.orEmpty()
+        done(StatementOutcome(SessionReply(shown, result, TransactionState.IDLE), written, search.facts))
     }
 
     private fun retry(pool: MemberPool, code: RejectionCode) {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
@@ -1,6 +1,7 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.admission.WorkItem
+import dev.kumquatknot.core.databasegroup.Confirmation
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.identity.KindName
 import dev.kumquatknot.core.identity.RequestId
@@ -11,6 +12,7 @@
 import dev.kumquatknot.core.interactive.RejectionCode
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.core.interactive.StatementPlan
+import dev.kumquatknot.core.interactive.StatementResult
 import kotlin.time.Duration
 
 /**
@@ -72,3 +74,16 @@
         code != RejectionCode.TOO_LARGE ||
         access == StatementAccess.READ &&
         (code == RejectionCode.FAILED || code == RejectionCode.TIMED_OUT)
+
+/**
+ * Returns the result to tell the caller of a write that was committed at [point]: unless a replica has received it, a
+ * promotion may roll it back, so its outcome is in doubt.
+ */
+internal fun StatementResult.confirmedBy(confirmation: Confirmation, point: HistoryPoint): StatementResult =
+    when (confirmation) {
+        Confirmation.CONFIRMED -> this
+        Confirmation.SUPERSEDED ->
+            StatementResult.Rejected(RejectionCode.IN_DOUBT, "the primary was replaced after the commit at $point")
+        Confirmation.DEADLINE_PASSED ->
+            StatementResult.Rejected(RejectionCode.IN_DOUBT, "no replica received the commit at $point in time")
+    }
