Use the connections of a full member by turns

Cause: each VM kept one connection to each member for good. A VM also went by the last count of connections for 3 s, so after a loss of all VMs it opened none although the members had dropped those of the lost VMs.

Change: once a member has refused a connection for their number, or reports that it is full, a VM keeps an idle one for 250 ms only, opens one only for work that waits, and tries again after 25 to 100 ms while work waits. Counts are asked for again when they block an opening. Idle replicas are polled every 8 s instead of 2 s, primaries every 800 ms while replicas keep up, and a primary that is only unproved no longer leads to polls of all members. An admitted statement waits for a connection for up to 0.4 of its target.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
@@ -18,7 +18,8 @@
         val suspected = group.isPrimarySuspected(now)
         group.all.forEach { pool ->
             val needed = suspected || isPollDue(group, pool, now, decides)
-            if (needed && pool !in pendingPolls) sendPoll(pool, pollCommands(group, pool, decides))
+            val isWorthwhile = decides || pool.mayPoll
+            if (needed && isWorthwhile && pool !in pendingPolls) sendPoll(pool, pollCommands(group, pool, decides))
         }
     }
 
@@ -26,11 +27,13 @@
         val leads = group.leads(pool)
         val since = if (leads) group.proofs.latestProofRequestedAt else pool.health.answeredAt
         val limit = when {
+            decides -> if (leads) DECIDER_PROOF_AGE else DECIDER_REPLICA_AGE
             !leads -> REPLICA_AGE
-            decides -> DECIDER_PROOF_AGE
+            group.needsFrequentProofs -> FREQUENT_PROOF_AGE
             else -> PROOF_AGE
         }
-        return since == null || !group.belief.isProved || pool.health.failures > 0 || now - since > limit
+        val isUnproved = leads && !group.belief.isProved
+        return since == null || isUnproved || pool.health.failures > 0 || now - since > limit
     }
 
     /**
@@ -51,10 +54,8 @@
     private fun GroupPools.isPrimarySuspected(now: Duration): Boolean {
         val primary = primaryPool ?: return true
         val provedAt = proofs.latestProofRequestedAt
-        return primary.leavingSince != null ||
-            primary.health.failures > 0 ||
-            provedAt == null ||
-            now - provedAt > SUSPICION_AGE
+        val isUnanswered = primary in pendingPolls && (provedAt == null || now - provedAt > SUSPICION_AGE)
+        return primary.leavingSince != null || primary.health.failures > 0 || belief.isDisproved || isUnanswered
     }
 
     private fun sendPoll(pool: MemberPool, pollCommands: List<MemberCommand>) {
@@ -81,19 +82,25 @@
     }
 
     private companion object {
-        /** Age of the newest proof above which the primary is polled; a fraction of the staleness that routes allow. */
-        val PROOF_AGE: Duration = 400.milliseconds
+        /** Age of the newest proof above which the primary is polled; well below the staleness that routes allow. */
+        val PROOF_AGE: Duration = 800.milliseconds
+
+        /** The same while replicas lag: with more proofs, replicas that are further behind may serve. */
+        val FREQUENT_PROOF_AGE: Duration = 400.milliseconds
 
         /** The same on a VM that decides failovers, which must detect a loss soon. */
         val DECIDER_PROOF_AGE: Duration = 200.milliseconds
 
-        /** Age of the newest proof above which the primary is suspected, since a poll was not answered. */
-        val SUSPICION_AGE: Duration = PROOF_AGE * 2
+        /** Age of the newest proof above which a primary that owes the answer to a poll is suspected. */
+        val SUSPICION_AGE: Duration = 800.milliseconds
 
         /** Age up to which a reported connection count is accurate enough to open more connections. */
         val REPORT_AGE: Duration = 3.seconds
 
-        /** Age of a replica's last answer above which it is polled. */
-        val REPLICA_AGE: Duration = 2.seconds
+        /** Age of a replica's last answer above which it is polled; reads detect a failed replica sooner. */
+        val REPLICA_AGE: Duration = 8.seconds
+
+        /** The same on a VM that decides failovers, which must know what replicas have received. */
+        val DECIDER_REPLICA_AGE: Duration = 2.seconds
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
@@ -12,6 +12,8 @@
 import dev.kumquatknot.core.interactive.RejectionCode
 import kotlin.math.roundToInt
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Why a pool refused a request. The work did not run. */
 internal enum class PoolRefusal {
@@ -63,7 +65,10 @@
     private val linkWaiters = ArrayDeque<LinkWaiter>()
     private var opening = 0
     private var connectionsOfOthers: Int? = null
+    private val countRefresh = CountRefresh()
     private var nextOpeningAt = Duration.ZERO
+    private var fullSince: Duration? = null
+    private var refusedOpenings = 0
     private var closed = false
 
     /** The latest description of the member from discovery. */
@@ -87,6 +92,16 @@
     /** Start time of the oldest opening that the member has not answered; null if there is none. */
     val openingSince: Duration? get() = links.filter { it.openingTime == null }.minOfOrNull { it.startedAt }
 
+    /**
+     * Whether the member has no connections to spare: then a VM keeps one only while it needs it, so that all VMs can
+     * use the member by turns.
+     */
+    val isScarce: Boolean
+        get() = fullSince?.let { environment.now() - it < SCARCITY_PERIOD } ?: false
+
+    /** Whether a poll is worth a connection: of a scarce member, only one that this VM has anyway. */
+    val mayPoll: Boolean get() = !isScarce || idle.isNotEmpty()
+
     /** Observed time that the member takes for a statement. */
     val serviceTime: Duration get() = queue.load().serviceTime
 
@@ -147,17 +162,24 @@
     fun maintain() {
         val now = environment.now()
         apply(queue.expire(now))
-        val surplus = idle.size - environment.limits.maximumIdleConnections
+        val limits = environment.limits
+        val surplus = idle.size - if (isScarce) 0 else limits.maximumIdleConnections
         if (surplus > 0) {
-            idle.filter { now - it.idleSince > environment.limits.idleCloseDelay }.take(surplus).forEach { it.close() }
+            val delay = if (isScarce) limits.scarceIdleCloseDelay else limits.idleCloseDelay
+            idle.filter { now - it.idleSince > delay }.take(surplus).forEach { it.close() }
         }
         val isUnconnected = links.isEmpty() && opening == 0
-        if (isUnconnected && !closed && leavingSince == null) openMore()
+        val keepsOne = leavingSince == null && !isScarce
+        if (linkWaiters.isNotEmpty() || (isUnconnected && keepsOne)) openMore()
     }
 
     /** Updates the number of connections of other VMs from the member's total of [connections]. */
     fun updateConnectionCount(connections: Int) {
         connectionsOfOthers = (connections - links.size).coerceAtLeast(0)
+        val isFull = freeConnections() <= 0
+        countRefresh.recordCount(environment.now(), isFull)
+        if (isFull) fullSince = environment.now()
+        if (linkWaiters.isNotEmpty()) openMore()
     }
 
     /** Refuses all queued requests and closes all connections that are not busy. */
@@ -173,6 +195,7 @@
 
     override fun linkOpened(link: PooledLink) {
         opening--
+        refusedOpenings = 0
         link.openingTime?.let { if (distance == Duration.ZERO || it < distance) distance = it }
         health.recordAnswer(environment.now())
         if (connectionsOfOthers == null) requestConnectionCount(link) else releaseLink(link)
@@ -191,15 +214,23 @@
         if (!opened) opening--
         val now = environment.now()
         val full = end is LinkEnd.Rejected && end.code == RejectionCode.TOO_MANY_CONNECTIONS
-        if (full) {
-            nextOpeningAt = now + TOO_MANY_CONNECTIONS_DELAY
-        } else if (!opened) {
+        if (full) return recordRefusedOpening(now)
+        if (!opened) {
             health.recordFailure(now, refused = end is LinkEnd.Refused)
             nextOpeningAt = now + FAILED_OPENING_DELAY
         }
         if (!opened && opening == 0) linkWaiters.toList().also { linkWaiters.clear() }.forEach { it.complete(null) }
     }
 
+    /** Tries again soon while work waits: other VMs close connections to a full member whenever they are idle. */
+    private fun recordRefusedOpening(now: Duration) {
+        fullSince = now
+        refusedOpenings = (refusedOpenings + 1).coerceAtMost(MAXIMUM_REFUSAL_STEPS)
+        val delay = REFUSED_OPENING_DELAY * refusedOpenings
+        nextOpeningAt = now + delay
+        if (linkWaiters.isNotEmpty()) environment.schedule(delay) { if (linkWaiters.isNotEmpty()) openMore() }
+    }
+
     /** Requests the member's connection count before [link] is lent, as a transaction may hold it for long. */
     private fun requestConnectionCount(link: PooledLink) {
         link.run(listOf(MemberCommand.Report), environment.limits.reportTimeout) { result ->
@@ -226,7 +257,7 @@
             }
         }
         linkWaiters.addLast(waiter)
-        startTimer(waiter, environment.limits.connectionWait)
+        startTimer(waiter, maxOf(environment.limits.connectionWait, request.item.target * CONNECTION_WAIT_SHARE))
         openMore()
     }
 
@@ -259,15 +290,34 @@
             links += link
             link.open(environment.openLink, environment.limits.openTimeout)
         }
+        val isBlockedByCount = links.isNotEmpty() && opening == 0 && freeConnections() <= 0
+        if (isBlockedByCount && countRefresh.begin(environment.now())) refreshConnectionCount()
+    }
+
+    /** Requests the member's connection count again, as other VMs may have closed theirs since the last one. */
+    private fun refreshConnectionCount() = acquireLink { link ->
+        if (link == null) {
+            countRefresh.end()
+            return@acquireLink
+        }
+        link.run(listOf(MemberCommand.Report), environment.limits.reportTimeout) { result ->
+            countRefresh.end()
+            if (result is BatchResult.Answered) releaseLink(link)
+        }
     }
 
     private fun mayOpen(): Boolean {
         val maximum = capacity()
         val share = (maximum * environment.limits.connectionShare).toInt().coerceAtLeast(1)
+        val isAllowed = links.isEmpty() || freeConnections() > 0
+        return links.size < share && isAllowed && environment.now() >= nextOpeningAt
+    }
+
+    /** Connections that the member accepts beyond those of the last count and the reserve of VMs that have none. */
+    private fun freeConnections(): Int {
         // Until the member has reported its count, assume that other VMs hold all but the one that each VM may have.
-        val connectionsOfOtherVms = connectionsOfOthers ?: maximum
-        val free = maximum - environment.limits.connectionReserve - connectionsOfOtherVms - links.size
-        return links.size < share && (links.isEmpty() || free > 0) && environment.now() >= nextOpeningAt
+        val connectionsOfOtherVms = connectionsOfOthers ?: capacity()
+        return capacity() - environment.limits.connectionReserve - connectionsOfOtherVms - links.size
     }
 
     private fun apply(changes: QueueChanges) {
@@ -288,8 +338,17 @@
     }
 
     private companion object {
-        /** Delay after a rejection for too many connections; other VMs need some time to close theirs. */
-        val TOO_MANY_CONNECTIONS_DELAY = MemberHealth.RETRY_DELAY * 2
+        /** Share of the target that admitted work may wait for a connection, if that is longer than the usual wait. */
+        const val CONNECTION_WAIT_SHARE = 0.4
+
+        /** Delay after a rejection for too many connections; it grows with each further one. */
+        val REFUSED_OPENING_DELAY = 25.milliseconds
+
+        /** Limits the delay after repeated rejections to a fraction of the time that work waits for a connection. */
+        const val MAXIMUM_REFUSAL_STEPS = 4
+
+        /** Time after a member was full for which connections to it count as scarce. */
+        val SCARCITY_PERIOD = 5.seconds
 
         /** Delay after a failed opening; limits attempts at a member that is down to a few a second. */
         val FAILED_OPENING_DELAY = MemberHealth.RETRY_DELAY
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
@@ -37,6 +37,9 @@
     /** Called before a member answers a command. */
     var beforeAnswer: (MemberCommand) -> Unit = {}
 
+    /** Whether replicas apply commits as soon as they receive them, instead of on [replicate]. */
+    var appliesAtOnce = false
+
     /** Number of commits of the leader. */
     var commits = 0L
     private var term = 1L
@@ -47,7 +50,7 @@
 
     fun promote(index: Int) {
         leader = members[index]
-        commits = members[index].applied.position.value
+        commits = members[index].received.position.value
         term++
         members[index].applied = point
     }
@@ -68,6 +71,12 @@
 internal class FakeMember(val name: String, private val loop: VirtualLoop, private val group: FakeGroup) {
     var applied = HistoryPoint(Term(1), LogPosition(0))
 
+    /** Whether the member receives what the primary commits. */
+    var receives = true
+
+    /** End of the received log; a member that receives nothing any more keeps what it has applied. */
+    val received get() = if (receives) group.point else applied
+
     /** Request ids of statements that run but whose answers get lost. */
     val lostAnswers = HashSet<String>()
 
@@ -86,11 +95,14 @@
     /** Connections that were opened so far. */
     var opened = 0
 
+    /** Number of connections that the member reports. */
+    var connections = 1
+
     /** Whether session values are rejected. */
     var rejectsValues = false
 
     private val leads get() = group.leader === this
-    private val end get() = if (leads) group.point else applied
+    private val end get() = if (leads || group.appliesAtOnce) group.point else applied
 
     fun discovered(leaving: Boolean) = DiscoveredMember(
         MemberName(name),
@@ -135,7 +147,7 @@
             events.replied(MemberReply(listOf("row").takeIf { report == null }.orEmpty(), result, state, end, report))
         }
 
-        private fun report() = ReplicationReport(leads, Term(1), end, Term(0), 1)
+        private fun report() = ReplicationReport(leads, Term(1), if (leads) end else received, Term(0), connections)
 
         private fun execute(command: MemberCommand): StatementResult = when (command) {
             is MemberCommand.Begin -> begin(command)
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -313,6 +313,106 @@
         }
     }
 
+    @Nested
+    inner class `a commit` {
+        private val replicas get() = group.members.filter { it !== group.leader }
+
+        private fun Caller.commit(request: String): SessionReply {
+            ask("b-$request", SessionStatement.Begin(readOnly = false))
+            ask("w-$request", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            return ask(request, SessionStatement.Commit("COMMIT"))
+        }
+
+        @Test
+        fun `is acknowledged once one replica has received it, however late replicas apply it`() {
+            startNode()
+            group.members[2].receives = false
+            expectThat(Caller("own").write("w").result).isA<StatementResult.Completed>()
+            expectThat(Caller("own").commit("c").result).isA<StatementResult.Completed>()
+        }
+
+        @Test
+        fun `that no replica receives is in doubt and not acknowledged`() {
+            startNode()
+            replicas.forEach { it.receives = false }
+            expectThat(Caller("own").write("w").code).isEqualTo(RejectionCode.IN_DOUBT)
+            expectThat(runOf("w").map { it.member }).containsExactly("a")
+        }
+
+        @Test
+        fun `of a transaction that no replica receives is in doubt`() {
+            startNode()
+            replicas.forEach { it.receives = false }
+            expectThat(Caller("own").commit("c").code).isEqualTo(RejectionCode.IN_DOUBT)
+        }
+
+        @Test
+        fun `is acknowledged by the primary alone in a group without replicas`() {
+            startNode()
+            node.updateMembers(group.discovered().take(1))
+            loop.advance(3.seconds)
+            expectThat(Caller("own").write("w").result).isA<StatementResult.Completed>()
+        }
+    }
+
+    @Nested
+    inner class `a primary that its replicas do not receive` {
+        private fun stallReplication() {
+            startNode()
+            group.members.drop(1).forEach { it.receives = false }
+            Caller("longTimeout").send("first", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(1_300.milliseconds)
+        }
+
+        @Test
+        fun `gets no more writes, which are rejected at once as not run`() {
+            stallReplication()
+            val caller = Caller("own")
+            caller.send("w", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(1.milliseconds)
+            expectThat(caller.replies.single().code).isEqualTo(RejectionCode.BUSY)
+            expectThat(runOf("w")).isEmpty()
+        }
+
+        @Test
+        fun `commits no open transaction that has written`() {
+            startNode()
+            val caller = Caller("own")
+            caller.ask("b", SessionStatement.Begin(readOnly = false))
+            caller.ask("w", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            group.members.drop(1).forEach { it.receives = false }
+            Caller("longTimeout").send("first", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(1_300.milliseconds)
+            val commits = group.commits
+            expectThat(caller.ask("c", SessionStatement.Commit("COMMIT")).code).isEqualTo(RejectionCode.ABORTED)
+            expectThat(group.commits).isEqualTo(commits)
+        }
+
+        @Test
+        fun `still serves reads`() {
+            stallReplication()
+            expectThat(Caller("current").read("r").result).isA<StatementResult.Completed>()
+        }
+
+        @Test
+        fun `gets writes again once a replica receives`() {
+            stallReplication()
+            group.members[1].receives = true
+            loop.advance(300.milliseconds)
+            expectThat(Caller("own").write("w").result).isA<StatementResult.Completed>()
+        }
+
+        @Test
+        fun `no longer blocks writes once another member leads`() {
+            stallReplication()
+            group.promote(1)
+            group.members[2].receives = true
+            loop.advance(2.seconds)
+            expectThat(Caller("own").write("w").result).isA<StatementResult.Completed>()
+            expectThat(runOf("w").single().member).isEqualTo("b")
+        }
+    }
+
     @Nested
     inner class `session values and plans` {
         @Test
@@ -391,10 +491,30 @@
         }
     }
 
+    @Nested
+    inner class `a member whose connections were all taken` {
+        /** As after a loss of all VMs: the member counts connections of lost VMs for 3 s, and then no longer. */
+        @Test
+        fun `gets more connections soon after others have closed theirs`() {
+            group.members.forEach { it.connections = CONNECTION_LIMIT }
+            startNode()
+            group.members.forEach { it.connections = 2 }
+            val openedBefore = group.members[0].opened
+            val holders = List(3) { Caller("current") }
+            holders.forEachIndexed { index, caller ->
+                caller.send("b$index", SessionStatement.Begin(readOnly = false))
+                caller.send("r$index", SessionStatement.Run(StatementAccess.READ, "READ 1"))
+            }
+            loop.advance(400.milliseconds)
+            expectThat(group.members[0].opened - openedBefore).isGreaterThanOrEqualTo(1)
+        }
+    }
+
     @Nested
     inner class `a transaction that takes the first connection` {
         @Test
         fun `does not keep other sessions from getting one`() {
+            group.appliesAtOnce = true
             node.configure(configuration(1))
             node.updateMembers(group.discovered())
             node.start()
