Know among how many VMs the connections are shared

Cause: VMs that held a connection to a full member never learned that it was full, since they asked for its count once.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -26,7 +26,7 @@
     val group: DatabaseName,
     private val environment: NodeEnvironment,
     private val isRemote: (DiscoveredMember) -> Boolean,
-    private val connections: () -> Int,
+    private val connections: () -> ConnectionBudget,
     private val onPrimaryUnknown: (GroupPools) -> Unit,
 ) {
     private val pools = LinkedHashMap<MemberName, MemberPool>()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -91,6 +91,9 @@
     /** Whether this VM decides failovers; it then polls members more often and for more data. */
     public var decidesFailovers: Boolean = false
 
+    /** Number of VMs that use the members, this one included; 0 while it is unknown. */
+    public var fleetSize: Int = 0
+
     /** Starts the periodic maintenance of pools and polling of members. */
     public fun start() {
         repeatEvery(environment.limits.maintenanceInterval) { groups.values.forEach { it.maintain() } }
@@ -182,7 +185,7 @@
         group = name,
         environment = environment,
         isRemote = ::isRemote,
-        connections = { configuration.connections[name] ?: 0 },
+        connections = { ConnectionBudget(configuration.connections[name] ?: 0, fleetSize) },
         onPrimaryUnknown = { poller.poll(it, decidesFailovers) },
     )
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
@@ -55,7 +55,7 @@
 internal class MemberPool(
     member: DiscoveredMember,
     private val environment: NodeEnvironment,
-    private val capacity: () -> Int,
+    private val budget: () -> ConnectionBudget,
     private val onReply: (MemberPool, MemberCommand, Duration, MemberReply) -> Unit,
 ) : LinkListener {
     private val queue = AdmissionQueue(slotsOf(member), AdmissionPolicy())
@@ -97,7 +97,7 @@
      * use the member by turns.
      */
     val isScarce: Boolean
-        get() = fullSince?.let { environment.now() - it < SCARCITY_PERIOD } ?: false
+        get() = budget().isShort || fullSince?.let { environment.now() - it < SCARCITY_PERIOD } ?: false
 
     /** Whether a poll is worth a connection: of a scarce member, only one that this VM has anyway. */
     val mayPoll: Boolean get() = !isScarce || idle.isNotEmpty()
@@ -307,7 +307,7 @@
     }
 
     private fun mayOpen(): Boolean {
-        val maximum = capacity()
+        val maximum = budget().maximum
         val share = (maximum * environment.limits.connectionShare).toInt().coerceAtLeast(1)
         val isAllowed = links.isEmpty() || freeConnections() > 0
         return links.size < share && isAllowed && environment.now() >= nextOpeningAt
@@ -316,8 +316,8 @@
     /** Connections that the member accepts beyond those of the last count and the reserve of VMs that have none. */
     private fun freeConnections(): Int {
         // Until the member has reported its count, assume that other VMs hold all but the one that each VM may have.
-        val connectionsOfOtherVms = connectionsOfOthers ?: capacity()
-        return capacity() - environment.limits.connectionReserve - connectionsOfOtherVms - links.size
+        val connectionsOfOtherVms = connectionsOfOthers ?: budget().maximum
+        return budget().maximum - environment.limits.connectionReserve - connectionsOfOtherVms - links.size
     }
 
     private fun apply(changes: QueueChanges) {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutySimulation.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutySimulation.kt
@@ -134,6 +134,8 @@
 
     fun read(key: String): StoredObject? = objects[key]
 
+    fun list(kind: String): List<StoredObject> = objects.values.filter { it.key.startsWith("$kind/") }
+
     fun readStale(key: String): StoredObject? {
         val versions = history[key].orEmpty() + objects[key]
         return versions.takeLast(STALE_READS).random(random)
@@ -172,12 +174,18 @@
     }
 }
 
-/** Runs tasks at once on the calling thread; the periodic task runs when the simulation calls it. */
+/** Runs tasks at once on the calling thread; periodic and delayed tasks run when a test calls them. */
 internal class ManualExecutor : ScheduledExecutorService by Executors.newSingleThreadScheduledExecutor() {
     lateinit var periodic: Runnable
+    lateinit var delayed: Runnable
 
     override fun execute(command: Runnable) = command.run()
 
+    override fun schedule(command: Runnable, delay: Long, unit: TimeUnit): ScheduledFuture<*> {
+        delayed = command
+        return IdleFuture
+    }
+
     override fun scheduleWithFixedDelay(
         command: Runnable,
         initialDelay: Long,
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
@@ -95,9 +95,16 @@
     /** Connections that were opened so far. */
     var opened = 0
 
-    /** Number of connections that the member reports. */
+    /** Number of connections that the member reports, unless it has a [connectionLimit] and counts its own. */
     var connections = 1
 
+    /** Number of connections above which the member rejects further ones. */
+    var connectionLimit = Int.MAX_VALUE
+
+    /** Connections that are open now. */
+    var open = 0
+        private set
+
     /** Whether session values are rejected. */
     var rejectsValues = false
 
@@ -126,6 +133,13 @@
 
         fun start() {
             opened++
+            if (open >= connectionLimit) {
+                closed = true
+                val full = LinkEnd.Rejected(RejectionCode.TOO_MANY_CONNECTIONS, name)
+                loop.schedule(LATENCY) { events.closed(full) }
+                return
+            }
+            open++
             loop.schedule(openingTime) { if (!closed && !unreachable) events.opened(end) }
         }
 
@@ -134,6 +148,7 @@
         }
 
         override fun close() {
+            if (!closed) open--
             closed = true
         }
 
@@ -147,7 +162,9 @@
             events.replied(MemberReply(listOf("row").takeIf { report == null }.orEmpty(), result, state, end, report))
         }
 
-        private fun report() = ReplicationReport(leads, Term(1), if (leads) end else received, Term(0), connections)
+        private fun report() = ReplicationReport(leads, Term(1), if (leads) end else received, Term(0), reported)
+
+        private val reported get() = if (connectionLimit == Int.MAX_VALUE) connections else open
 
         private fun execute(command: MemberCommand): StatementResult = when (command) {
             is MemberCommand.Begin -> begin(command)
