--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -135,8 +135,9 @@
     /** Whether replicas were too far behind for a read lately, so that older proofs would let more of them serve. */
     val needsFrequentProofs: Boolean get() = environment.now() - replicasLaggedAt < LAG_PERIOD
 
-    private fun successors(): List<MemberPool> =
-        pools.values.filter { !leads(it) && it.leavingSince == null }.sortedBy { it.distance }
+    /** The pools of members that may take over; nearest first, those without a known distance or failing last. */
+    private fun successors(): List<MemberPool> = pools.values.filter { !leads(it) && it.leavingSince == null }
+        .sortedWith(compareBy({ it.health.failures }, { it.distance == Duration.ZERO }, { it.distance }))
 
     private fun candidate(pool: MemberPool, now: Duration) = ReadCandidate(
         name = pool.member.name,
