--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistry.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistry.kt
@@ -40,7 +40,9 @@
     }
 
     private fun schedule(delay: Duration) {
-        executor.schedule({ update().also { schedule(COUNT_INTERVAL) } }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        executor.schedule({
+            update().also { schedule(COUNT_INTERVAL) }
+        }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun update() {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistrySpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistrySpec.kt
@@ -7,7 +7,6 @@
 import dev.kumquatknot.core.platform.ObjectVersion
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.core.platform.StoreFailure
-import dev.kumquatknot.core.platform.StoredObject
 import dev.kumquatknot.core.platform.WatchResult
 import dev.kumquatknot.core.platform.WatchableObjects
 import org.junit.jupiter.api.Test
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/SharedConnectionsSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/SharedConnectionsSpec.kt
@@ -31,7 +31,10 @@
     private val dataCentres = listOf("a", "b", "c")
     private val replies = ArrayList<Pair<Duration, SessionReply>>()
 
-    private val routes = listOf(route("booking", ReadConsistency.CURRENT), route("own", ReadConsistency.READ_YOUR_WRITES))
+    private val routes = listOf(
+        route("booking", ReadConsistency.CURRENT),
+        route("own", ReadConsistency.READ_YOUR_WRITES),
+    )
         .associateBy { it.name }
 
     private fun route(name: String, consistency: ReadConsistency) =
