--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberHistory.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberHistory.kt
@@ -36,7 +36,7 @@
         val hasEnded = known != null &&
             if (isSameRun) known.leaving && known.goneSince != null else member.startedAtMillis < known.startedAtMillis
         if (isDoubtful && hasEnded) return null
-        val leaving = member.leaving || (isSameRun && known?.leaving == true)
+        val leaving = member.leaving || (isSameRun && known.leaving)
         runs[member.name] = Run(member.startedAtMillis, leaving, goneSince = null)
         return member.copy(leaving = leaving)
     }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutySimulation.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutySimulation.kt
@@ -121,7 +121,7 @@
     }
 }
 
-/** A store of objects with revisions that can come back from a copy of itself, in which it gives out revisions again. */
+/** A store of objects that can come back from a copy of itself, and then gives out revisions again. */
 internal class RestorableStore(private val random: Random) {
     private var objects = emptyMap<String, StoredObject>()
     private var revision = 1L
