Log how old the last answer of the store is and how long a failed call took

Change: STORE_UNAVAILABLE has failures, tookMs and answerAgeMs and is logged at each doubling of the failures, so a long outage costs few lines; STORE_AVAILABLE has failures and answerAgeMs. Measured: ObjectWatcherSpec, EventSpec and PlatformPathSpec pass.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
@@ -8,6 +8,7 @@
 import dev.kumquatknot.core.platform.StoredObject
 import dev.kumquatknot.core.platform.WatchResult
 import dev.kumquatknot.core.platform.WatchableObjects
+import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.event.EventLog
 import kotlin.time.Duration
@@ -19,6 +20,7 @@
  *
  * While the store does not answer, the objects read last stay in force.
  *
+ * @param clock for the ages and durations in log lines.
  * @param watchTimeout time that one call waits for changes; also bounds how long a silent connection hides changes.
  * @param changeInterval minimum time between two calls that return changes. Objects of many writers change all the
  * time; without it, the calls of all VMs together would grow with the product of VMs and writers.
@@ -28,6 +30,7 @@
     private val kind: String,
     private val feed: WatchableObjects,
     private val events: EventLog,
+    private val clock: Clock,
     private val watchTimeout: Duration,
     private val changeInterval: Duration = Duration.ZERO,
     private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) },
@@ -36,6 +39,7 @@
     private val objects = LinkedHashMap<String, StoredObject>()
     private var failures = 0
     private var hasRead = false
+    private var answeredAt: Duration? = null
 
     /** Starts the watching daemon thread. */
     public fun start() {
@@ -50,7 +54,7 @@
         }
     }
 
-    private fun readSnapshot(): ObjectSnapshot? = valueOrPause(feed.snapshot(kind))?.also { snapshot ->
+    private fun readSnapshot(): ObjectSnapshot? = valueOrPause { feed.snapshot(kind) }?.also { snapshot ->
         objects.clear()
         snapshot.objects.associateByTo(objects) { it.key }
         hasRead = true
@@ -61,7 +65,7 @@
     private fun watchFrom(first: Long, era: StoreEra) {
         var revision = first
         while (true) {
-            when (val answer = valueOrPause(feed.changes(kind, revision, watchTimeout))) {
+            when (val answer = valueOrPause { feed.changes(kind, revision, watchTimeout) }) {
                 null -> Unit
                 is WatchResult.RevisionCompacted -> return
                 is WatchResult.Changed -> {
@@ -84,25 +88,50 @@
     }
 
     /**
-     * Returns the value of [result]; on a failure pauses and returns null. The delay grows once the objects have been
+     * Returns the value of [call]; on a failure pauses and returns null. The delay grows once the objects have been
      * read; a process that has none yet can serve nothing.
      */
-    private fun <T> valueOrPause(result: Either<StoreFailure, T>): T? = result.fold(
-        { failure ->
-            failures++
-            if (failures == FAILURES_BEFORE_LOGGING) {
-                events.log(Event.STORE_UNAVAILABLE, "call" to "feed $kind", "detail" to failure.toString())
-            }
-            pause(if (hasRead) minOf(INITIAL_RETRY_DELAY * failures, MAXIMUM_RETRY_DELAY) else INITIAL_RETRY_DELAY)
-            null
-        },
-        { value ->
-            if (failures >= FAILURES_BEFORE_LOGGING) events.log(Event.STORE_AVAILABLE, "call" to "feed $kind")
-            failures = 0
-            value
-        },
+    private fun <T> valueOrPause(call: () -> Either<StoreFailure, T>): T? {
+        val sentAt = clock.elapsed()
+        return call().fold(
+            { failure ->
+                failures++
+                if (isLogged(failures)) logFailure(failure, sentAt)
+                pause(if (hasRead) minOf(INITIAL_RETRY_DELAY * failures, MAXIMUM_RETRY_DELAY) else INITIAL_RETRY_DELAY)
+                null
+            },
+            { value ->
+                if (failures >= FAILURES_BEFORE_LOGGING) {
+                    events.log(
+                        Event.STORE_AVAILABLE,
+                        "call" to "feed $kind",
+                        "failures" to failures,
+                        "answerAgeMs" to answerAge(),
+                    )
+                }
+                failures = 0
+                answeredAt = clock.elapsed()
+                value
+            },
+        )
+    }
+
+    private fun logFailure(failure: StoreFailure, sentAt: Duration) = events.log(
+        Event.STORE_UNAVAILABLE,
+        "call" to "feed $kind",
+        "failures" to failures,
+        "tookMs" to (clock.elapsed() - sentAt).inWholeMilliseconds,
+        "answerAgeMs" to answerAge(),
+        "detail" to failure.toString(),
     )
 
+    /** Time since the store last answered this watcher, in milliseconds; null if it never did. */
+    private fun answerAge(): Long? = answeredAt?.let { (clock.elapsed() - it).inWholeMilliseconds }
+
+    /** The second failure is logged, and then each that doubles the number, which bounds the lines of a long outage. */
+    private fun isLogged(failure: Int): Boolean =
+        failure >= FAILURES_BEFORE_LOGGING && failure.countOneBits() == 1
+
     private companion object {
         val INITIAL_RETRY_DELAY = 100.milliseconds
 
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
@@ -11,6 +11,7 @@
 import dev.kumquatknot.core.platform.StoredObject
 import dev.kumquatknot.core.platform.WatchResult
 import dev.kumquatknot.core.platform.WatchableObjects
+import dev.kumquatknot.core.time.SystemClock
 import dev.kumquatknot.proxy.event.EventLog
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -58,7 +59,7 @@
         interval: Duration = Duration.ZERO,
     ) {
         val script = Script(ArrayDeque(snapshots), ArrayDeque(answers))
-        ObjectWatcher("kind", script, EventLog(), 1.seconds, interval, pauses::add) { objects, era ->
+        ObjectWatcher("kind", script, EventLog(), SystemClock, 1.seconds, interval, pauses::add) { objects, era ->
             seen += objects.map { it.key.substringAfter('/') } to era
         }.start()
         check(done.await(10, TimeUnit.SECONDS)) { "the watcher has not played the script" }
