Bring a change into force within the stable window after the store was silent

Both spans begin when the store is back, so only the longer one is there: 4 s. A watch could take 4.5 s to fail, and the watch sent after a failure waited as long as the first, also when it was sent into the outage. Ruled out: the growing pause (300 ms here), a lost event and a busy event loop (1 to 3 ms from the answer to its use). Change: WatchPacing derives the wait and the delays from the stable window alone, such that the worst sequence of calls fits into it, with one more silent connection from the pool. After a failed call the watcher reads all objects by a call that does not wait. The answer to a call of the store is awaited for 700 ms instead of 1 s.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
@@ -6,22 +6,20 @@
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.core.platform.StoreFailure
 import dev.kumquatknot.core.platform.StoredObject
+import dev.kumquatknot.core.platform.WatchPacing
 import dev.kumquatknot.core.platform.WatchResult
 import dev.kumquatknot.core.platform.WatchableObjects
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.event.EventLog
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Watches the objects of one [kind] in the platform's store on a thread of its own.
  *
- * While the store does not answer, the objects read last stay in force.
+ * While the store does not answer, the objects read last stay in force. After a failed call all objects are read again.
  *
  * @param clock for the ages and durations in log lines.
- * @param watchTimeout time that one call waits for changes; also bounds how long a silent connection hides changes.
  * @param changeInterval minimum time between two calls that return changes. Objects of many writers change all the
  * time; without it, the calls of all VMs together would grow with the product of VMs and writers.
  * @param onObjects called on the watcher's thread with all objects and the era of the store, after each change.
@@ -31,7 +29,7 @@
     private val feed: WatchableObjects,
     private val events: EventLog,
     private val clock: Clock,
-    private val watchTimeout: Duration,
+    private val pacing: WatchPacing,
     private val changeInterval: Duration = Duration.ZERO,
     private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) },
     private val onObjects: (Collection<StoredObject>, StoreEra) -> Unit,
@@ -61,13 +59,12 @@
         onObjects(objects.values.toList(), snapshot.era)
     }
 
-    /** Watches until the store no longer has the history since [first], or has entered another era than [era]. */
+    /** Watches until a call fails, the store no longer has the history since [first], or it has left [era]. */
     private fun watchFrom(first: Long, era: StoreEra) {
         var revision = first
         while (true) {
-            when (val answer = valueOrPause { feed.changes(kind, revision, watchTimeout) }) {
-                null -> Unit
-                is WatchResult.RevisionCompacted -> return
+            when (val answer = valueOrPause { feed.changes(kind, revision, pacing.wait) }) {
+                null, is WatchResult.RevisionCompacted -> return
                 is WatchResult.Changed -> {
                     if (answer.era != era) return
                     revision = answer.revision
@@ -97,7 +94,7 @@
             { failure ->
                 failures++
                 if (isLogged(failures)) logFailure(failure, sentAt)
-                pause(if (hasRead) minOf(INITIAL_RETRY_DELAY * failures, MAXIMUM_RETRY_DELAY) else INITIAL_RETRY_DELAY)
+                pause(pacing.delayAfter(if (hasRead) failures else 1))
                 null
             },
             { value ->
@@ -133,11 +130,6 @@
         failure >= FAILURES_BEFORE_LOGGING && failure.countOneBits() == 1
 
     private companion object {
-        val INITIAL_RETRY_DELAY = 100.milliseconds
-
-        /** Well below the 3 s within which changes must be in force once the store is back; more calls cost more. */
-        val MAXIMUM_RETRY_DELAY = 1.seconds
-
         /** Single failures are common, for example an interrupted watch, and are not logged. */
         const val FAILURES_BEFORE_LOGGING = 2
     }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
@@ -9,6 +9,7 @@
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.core.platform.StoreFailure
 import dev.kumquatknot.core.platform.StoredObject
+import dev.kumquatknot.core.platform.WatchPacing
 import dev.kumquatknot.core.platform.WatchResult
 import dev.kumquatknot.core.platform.WatchableObjects
 import dev.kumquatknot.core.time.SystemClock
@@ -28,6 +29,7 @@
     private val seen = ArrayList<Pair<List<String>, StoreEra>>()
     private val pauses = ArrayList<Duration>()
     private val done = CountDownLatch(1)
+    private val pacing = WatchPacing(4.seconds, connectTimeout = 800.milliseconds, answerTimeout = 700.milliseconds)
 
     private fun stored(name: String) = StoredObject("kind/$name", ObjectVersion(1), "")
 
@@ -59,7 +61,7 @@
         interval: Duration = Duration.ZERO,
     ) {
         val script = Script(ArrayDeque(snapshots), ArrayDeque(answers))
-        ObjectWatcher("kind", script, EventLog(), SystemClock, 1.seconds, interval, pauses::add) { objects, era ->
+        ObjectWatcher("kind", script, EventLog(), SystemClock, pacing, interval, pauses::add) { objects, era ->
             seen += objects.map { it.key.substringAfter('/') } to era
         }.start()
         check(done.await(10, TimeUnit.SECONDS)) { "the watcher has not played the script" }
@@ -87,6 +89,17 @@
         expectThat(seen).last().isEqualTo(listOf("b") to StoreEra(1))
     }
 
+    @Test
+    fun `reads all objects after a failed watch, as a waiting call that is sent into an outage would outlast it`() {
+        val failure = StoreFailure.NoAnswer("no answer").left()
+        play(
+            snapshots = listOf(snapshot(1, 100, "a"), failure, snapshot(1, 101, "a", "b")),
+            answers = listOf(failure),
+        )
+        expectThat(seen).last().isEqualTo(listOf("a", "b") to StoreEra(1))
+        expectThat(pauses).containsExactly(100.milliseconds, 200.milliseconds)
+    }
+
     @Test
     fun `collects changes for the interval, so that calls do not grow with the number of writers`() {
         play(
