--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/ObjectStore.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/ObjectStore.kt
@@ -5,6 +5,7 @@
 import dev.kumquatknot.core.identity.VmName
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Version of an object in the platform's object API; 0 means that the object does not exist. */
 @JvmInline
@@ -70,4 +71,9 @@
 
     /** Reads the platform's delayed list of live and leaving VMs. */
     public fun vms(): Either<StoreFailure, List<ListedVm>>
+
+    public companion object {
+        /** Time, beyond the timeout of a watch, after which a client abandons a call without an answer. */
+        public val CALL_TIMEOUT: Duration = 3.seconds
+    }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
@@ -21,7 +21,6 @@
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 
 /**
@@ -32,7 +31,10 @@
  *
  * @param timeout time limit of a call; a watch may take its own timeout in addition.
  */
-public class HttpObjectStore(private val baseUri: URI, private val timeout: Duration = 3.seconds) : ObjectStore {
+public class HttpObjectStore(
+    private val baseUri: URI,
+    private val timeout: Duration = ObjectStore.CALL_TIMEOUT,
+) : ObjectStore {
     private val client = HttpClient.newBuilder()
         .version(HttpClient.Version.HTTP_1_1)
         .connectTimeout(timeout.toJavaDuration())
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/distribution/ConfigurationUpdater.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/distribution/ConfigurationUpdater.kt
@@ -9,6 +9,7 @@
 import dev.kumquatknot.core.platform.ObjectVersion
 import dev.kumquatknot.core.platform.StoreFailure
 import dev.kumquatknot.core.platform.StoredObject
+import dev.kumquatknot.core.platform.WatchPacing
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.event.EventLog
 import dev.kumquatknot.proxy.peer.PeerPort
@@ -36,6 +37,7 @@
     private val storeAvailable = AtomicBoolean(true)
     private val fetching = AtomicBoolean(false)
     private var knownVersion = ObjectVersion.ABSENT
+    private var failedWatches = 0
 
     /** Number of the configuration in force. */
     val number: Long get() = holder.current.number
@@ -43,8 +45,22 @@
     /** Reads the configuration from the platform once; returns whether the platform answered. */
     fun readFromStore(): Boolean = handleStoreReply(store.read(FleetConfiguration.STORE_KEY))
 
-    /** Waits at most [WATCH_TIMEOUT] for a newer version at the platform; returns whether the platform answered. */
-    fun watchStore(): Boolean = handleStoreReply(store.watch(FleetConfiguration.STORE_KEY, knownVersion, WATCH_TIMEOUT))
+    /** Delay before the next call of [watchStore] after one that the platform did not answer. */
+    val retryDelay: Duration get() = pacing.delayAfter(failedWatches)
+
+    /**
+     * Waits for a newer version at the platform; returns whether the platform answered. After a failed call it only
+     * reads the current version, since a call that waits would outlast an outage into which it is sent.
+     */
+    fun watchStore(): Boolean {
+        val isAnswered = if (failedWatches > 0) {
+            readFromStore()
+        } else {
+            handleStoreReply(store.watch(FleetConfiguration.STORE_KEY, knownVersion, pacing.wait))
+        }
+        failedWatches = if (isAnswered) 0 else failedWatches + 1
+        return isAnswered
+    }
 
     /** Fetches the configuration of [peer] if its number is higher; does nothing while another fetch is running. */
     fun fetchFrom(peer: VmRecord) {
@@ -86,12 +102,9 @@
     }
 
     companion object {
-        /** Longest time for which the platform holds a watch request open. */
-        val WATCH_TIMEOUT: Duration = 25.seconds
-
-        /** Pause after a failed call to the platform. */
-        val RETRY_PAUSE: Duration = 1.seconds
-
+        /** Time within which an accepted configuration is in force everywhere. */
+        private val APPLICATION_TIME = 15.seconds
+        private val pacing = WatchPacing(APPLICATION_TIME, ObjectStore.CALL_TIMEOUT, ObjectStore.CALL_TIMEOUT)
         private val FETCH_TIMEOUT = 5.seconds
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/PlatformWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/PlatformWatcher.kt
@@ -57,7 +57,7 @@
     }
 
     private fun watchConfiguration(): Duration =
-        if (configuration.watchStore()) WATCH_INTERVAL else ConfigurationUpdater.RETRY_PAUSE
+        if (configuration.watchStore()) WATCH_INTERVAL else configuration.retryDelay
 
     private fun readList(): Duration {
         store.vms().onRight(onList)
