--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
@@ -78,7 +78,7 @@
 
     private fun poll() {
         val commit = oldest ?: return
-        // A connection that is opened for a poll alone costs a slot of the replica, and a scarce one keeps others waiting.
+        // A connection that is opened for a poll alone costs a slot of the replica and may keep other VMs waiting.
         val candidates = replicas().sortedBy { it.isScarce && !it.isConnected }
         if (candidates.isEmpty()) oldest = null
         pollsByPool.keys.retainAll(candidates.toSet())
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ConnectionBudget.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ConnectionBudget.kt
@@ -16,8 +16,8 @@
     private val keepable: Double get() = maximum * KEEPING_SHARE
 
     /**
-     * Returns how long a VM that uses the member every [interval] on average keeps an idle connection of a short budget,
-     * such that idle connections take [KEEPING_SHARE] of the budget while all VMs are used alike.
+     * Returns how long a VM that uses the member every [interval] on average keeps an idle connection of a short
+     * budget, such that idle connections take [KEEPING_SHARE] of the budget while all VMs are used alike.
      *
      * Answers the load of more VMs than connections, each of which needs the member now and then: a connection that is
      * closed too soon costs a handshake in one of the member's slots, one that is kept too long keeps others waiting.
