--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/WatchPacing.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/platform/WatchPacing.kt
@@ -16,7 +16,7 @@
  * @param connectTimeout time after which an attempt to connect to the store is abandoned.
  * @param answerTimeout time, beyond the wait for changes, after which a call without an answer is abandoned.
  */
-public class WatchPacing(private val recovery: Duration, connectTimeout: Duration, answerTimeout: Duration) {
+public class WatchPacing(recovery: Duration, connectTimeout: Duration, answerTimeout: Duration) {
     /** Maximum time for which a call waits for changes. */
     public val wait: Duration =
         (recovery - answerTimeout * 2 - FIRST_DELAY - SECOND_DELAY - EXCHANGE).coerceAtLeast(MINIMUM_WAIT)
