Go on watching and renewing after an unexpected error

Callers could see: a VM that kept its configuration, its members or its idle lease for good after one unexpected error, while it reported ready. Found by looking for one malformed message that takes a process, or here a part of it, down. Cause: an exception ended the thread of a watch and the periodic task of the lease and of the count of VMs.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/EventLog.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/EventLog.kt
@@ -19,4 +19,19 @@
             payload = mapOf("event" to event.number, "eventName" to event.name) + fields
         }
     }
+
+    /**
+     * Runs [task], a step of a loop or of a periodic task that must go on; returns whether it ended normally. An
+     * unexpected exception is logged, an interrupt is passed on.
+     */
+    @Suppress("TooGenericExceptionCaught") // Any exception would end the loop for good.
+    public fun runStep(name: String, task: () -> Unit): Boolean = try {
+        task()
+        true
+    } catch (interrupt: InterruptedException) {
+        throw interrupt
+    } catch (unexpected: Exception) {
+        log(Event.TASK_BROKEN, "task" to name, cause = unexpected)
+        false
+    }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewer.kt
@@ -47,7 +47,7 @@
     /** Starts the periodic renewal or acquisition of the lease. */
     public fun start() {
         val interval = RENEWAL_INTERVAL.inWholeMilliseconds
-        executor.scheduleWithFixedDelay(::renewOrObserve, 0, interval, TimeUnit.MILLISECONDS)
+        executor.scheduleWithFixedDelay(::renewSafely, 0, interval, TimeUnit.MILLISECONDS)
     }
 
     /**
@@ -69,6 +69,10 @@
 
     private val key: String get() = if (lease.era == StoreEra.UNKNOWN) duty else "$duty-${lease.era}"
 
+    private fun renewSafely() {
+        events.runStep("renew $duty", ::renewOrObserve)
+    }
+
     private fun renewOrObserve() {
         if (isReleased) return
         enterCurrentEra()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistry.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistry.kt
@@ -5,6 +5,7 @@
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.core.platform.StoreFailure
 import dev.kumquatknot.core.platform.WatchableObjects
+import dev.kumquatknot.proxy.event.EventLog
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -28,20 +29,22 @@
     private val store: ConditionalStore,
     private val objects: WatchableObjects,
     private val executor: ScheduledExecutorService,
+    private val events: EventLog,
     private val onCount: (Int) -> Unit,
 ) {
     private var registeredIn: StoreEra? = null
 
     /** Starts to register and to count periodically. */
     public fun start() {
-        executor.execute(::update)
+        executor.execute { events.runStep(STEP, ::update) }
         // All VMs of a fleet may start together; the first count after that includes them.
         schedule(FIRST_COUNT_DELAY)
     }
 
     private fun schedule(delay: Duration) {
         executor.schedule({
-            update().also { schedule(COUNT_INTERVAL) }
+            events.runStep(STEP, ::update)
+            schedule(COUNT_INTERVAL)
         }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
@@ -57,6 +60,7 @@
     }
 
     private companion object {
+        const val STEP = "count VMs"
         val FIRST_COUNT_DELAY = 3_000.milliseconds
         val COUNT_INTERVAL = 20.seconds
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
@@ -46,7 +46,10 @@
 
     private fun watch() {
         try {
-            while (true) readSnapshot()?.let { watchFrom(it.revision, it.era) }
+            while (true) {
+                val isIntact = events.runStep("feed $kind") { readSnapshot()?.let { watchFrom(it.revision, it.era) } }
+                if (!isIntact) pause(pacing.delayAfter(++failures))
+            }
         } catch (_: InterruptedException) {
             Thread.currentThread().interrupt()
         }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewerSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewerSpec.kt
@@ -22,13 +22,17 @@
     private val store = object : ConditionalStore {
         private val objects = RestorableStore(Random(1))
         var writes = 0
+        var isBroken = false
 
         override val era: StoreEra get() = objects.era
 
         override fun read(key: String): Either<StoreFailure, StoredObject?> = objects.read(key).right()
 
         override fun write(key: String, value: String, expected: ObjectVersion) =
-            objects.write(key, value, expected).also { writes++ }
+            objects.write(key, value, expected).also {
+                check(!isBroken) { "an unexpected record" }
+                writes++
+            }
     }
     private val renewer = DutyLeaseRenewer("duties/failover", "vm", store, executor, loop, EventLog())
 
@@ -46,6 +50,17 @@
         expectThat(renewer.heldToken).isNotNull()
     }
 
+    @Test
+    fun `goes on renewing after an unexpected error, which ended the periodic task for good`() {
+        acquire()
+        store.isBroken = true
+        executor.periodic.run()
+        store.isBroken = false
+        loop.advance(1.seconds)
+        executor.periodic.run()
+        expectThat(renewer.heldToken).isNotNull()
+    }
+
     @Test
     fun `does not acquire the lease again after releasing it, since the process is about to end`() {
         acquire()
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistrySpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistrySpec.kt
@@ -9,6 +9,7 @@
 import dev.kumquatknot.core.platform.StoreFailure
 import dev.kumquatknot.core.platform.WatchResult
 import dev.kumquatknot.core.platform.WatchableObjects
+import dev.kumquatknot.proxy.event.EventLog
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -34,7 +35,7 @@
     }
 
     private fun register(vm: String): ManualExecutor = ManualExecutor().also { executor ->
-        FleetRegistry("vms", vm, store, store, executor, counts::add).start()
+        FleetRegistry("vms", vm, store, store, executor, EventLog(), counts::add).start()
     }
 
     @Test
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
@@ -29,6 +29,7 @@
     private val seen = ArrayList<Pair<List<String>, StoreEra>>()
     private val pauses = ArrayList<Duration>()
     private val done = CountDownLatch(1)
+    private var consumerErrors = 0
     private val pacing = WatchPacing(4.seconds, connectTimeout = 800.milliseconds, answerTimeout = 700.milliseconds)
 
     private fun stored(name: String) = StoredObject("kind/$name", ObjectVersion(1), "")
@@ -62,6 +63,7 @@
     ) {
         val script = Script(ArrayDeque(snapshots), ArrayDeque(answers))
         ObjectWatcher("kind", script, EventLog(), SystemClock, pacing, interval, pauses::add) { objects, era ->
+            if (consumerErrors-- > 0) error("an unexpected object")
             seen += objects.map { it.key.substringAfter('/') } to era
         }.start()
         check(done.await(10, TimeUnit.SECONDS)) { "the watcher has not played the script" }
@@ -100,6 +102,13 @@
         expectThat(pauses).containsExactly(100.milliseconds, 200.milliseconds)
     }
 
+    @Test
+    fun `reads all objects again after an unexpected error, which ended the watch for good`() {
+        consumerErrors = 1
+        play(snapshots = listOf(snapshot(1, 100, "a"), snapshot(1, 101, "b")))
+        expectThat(seen).containsExactly(listOf("b") to StoreEra(1))
+    }
+
     @Test
     fun `collects changes for the interval, so that calls do not grow with the number of writers`() {
         play(
