--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/Averages.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/Averages.kt
@@ -9,15 +9,18 @@
  * Exponentially weighted moving average of durations, in which each sample has the given [weight]. The first samples
  * have equal weights, so that a single outlier among them does not dominate the average.
  */
-internal class DurationAverage(private val weight: Double, private val initial: Duration) {
+public class DurationAverage(private val weight: Double, private val initial: Duration) {
     private var seconds: Double? = null
     private var samples = 0
 
-    val value: Duration get() = seconds?.seconds ?: initial
+    /** The average; the initial value before the first sample. */
+    public val value: Duration get() = seconds?.seconds ?: initial
 
-    val hasSamples: Boolean get() = seconds != null
+    /** Whether a sample was added. */
+    public val hasSamples: Boolean get() = seconds != null
 
-    fun add(sample: Duration) {
+    /** Adds [sample]. */
+    public fun add(sample: Duration) {
         val latest = sample.toDouble(DurationUnit.SECONDS)
         samples++
         seconds = seconds?.let { it + maxOf(weight, 1.0 / samples) * (latest - it) } ?: latest
