Ask for a stalled replication in one place

The check stood in SingleStatement and twice in SessionTransaction, which read the time again for the text and had a fallback for a stall that ended in between. GroupPools.describeStall gives the text or null. Behaviour is unchanged.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -82,9 +82,10 @@
         pools.values.forEach { it.maintain() }
     }
 
-    /** Describes to a caller that writes are rejected as no replica has received commits [since] that time. */
-    fun describeStall(since: Duration): String =
+    /** Tells callers why writes are rejected; null unless no replica has received the primary's commits for long. */
+    fun describeStall(): String? = confirmer.stalledSince?.let { since ->
         "no replica of $group has received its primary's commits for ${environment.now() - since}"
+    }
 
     /** Whether [pool] belongs to the believed primary. */
     fun leads(pool: MemberPool): Boolean = pool.member.name == belief.primary
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionTransaction.kt
@@ -50,11 +50,11 @@
     /** Runs [call] in the transaction. */
     fun run(call: StatementCall, done: (SessionReply) -> Unit) {
         val connection = link
+        val stall = if (call.access == StatementAccess.WRITE) group.describeStall() else null
         when {
             readOnly && call.access == StatementAccess.WRITE ->
                 fail(RejectionCode.READ_ONLY, "the transaction only reads", done)
-            call.access == StatementAccess.WRITE && group.confirmer.stalledSince != null ->
-                failStalled(done)
+            stall != null -> fail(RejectionCode.ABORTED, stall, done)
             connection == null -> begin(call) { problem ->
                 if (problem == null) run(call, done) else fail(problem, done)
             }
@@ -68,12 +68,13 @@
     /** Commits; [done] gets the reply and, if it succeeded, the point of the commit. */
     fun commit(call: StatementCall, done: (SessionReply, HistoryPoint?) -> Unit) {
         val connection = link
+        val stall = if (hasWritten) group.describeStall() else null
         when {
             connection == null -> begin(call) { problem ->
                 if (problem == null) commit(call, done) else fail(problem) { done(it, null) }
             }
             connection.isClosed -> fail(RejectionCode.ABORTED, "the connection to $member has ended") { done(it, null) }
-            hasWritten && group.confirmer.stalledSince != null -> failStalled { done(it, null) }
+            stall != null -> fail(RejectionCode.ABORTED, stall) { done(it, null) }
             else -> connection.run(
                 listOf(MemberCommand.Commit(call.request, call.text)),
                 call.deadline - environment.now(),
@@ -225,9 +226,6 @@
         }
     }
 
-    private fun failStalled(done: (SessionReply) -> Unit) =
-        fail(RejectionCode.ABORTED, group.describeStall(group.confirmer.stalledSince ?: environment.now()), done)
-
     private fun fail(code: RejectionCode, detail: String, done: (SessionReply) -> Unit) =
         fail(StatementResult.Rejected(code, detail), done)
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -31,8 +31,8 @@
     private var lastCode = RejectionCode.BUSY
 
     fun start() {
-        val stalledSince = group.confirmer.stalledSince.takeIf { call.access == StatementAccess.WRITE }
-        if (stalledSince != null) return fail(RejectionCode.BUSY, group.describeStall(stalledSince))
+        val stall = if (call.access == StatementAccess.WRITE) group.describeStall() else null
+        if (stall != null) return fail(RejectionCode.BUSY, stall)
         search.next(call, ::found)
     }
 
