--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
@@ -9,13 +9,13 @@
 import dev.kumquatknot.core.platform.ObjectVersion
 import dev.kumquatknot.core.platform.StoreFailure
 import dev.kumquatknot.core.platform.StoredObject
+import dev.kumquatknot.proxy.http.encodeForUri
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import java.io.IOException
 import java.net.ConnectException
 import java.net.URI
-import java.net.URLEncoder
 import java.net.http.HttpClient
 import java.net.http.HttpConnectTimeoutException
 import java.net.http.HttpRequest
@@ -53,7 +53,7 @@
         }
 
     override fun readAll(prefix: String): Either<StoreFailure, List<StoredObject>> =
-        send(request(uri("/objects?prefix=${encode(prefix)}")).GET()).flatMap { response ->
+        send(request(uri("/objects?prefix=${encodeForUri(prefix)}")).GET()).flatMap { response ->
             response.toList<ObjectJson>().map { objects ->
                 objects.map { StoredObject(it.key, ObjectVersion(it.version), it.value) }
             }
@@ -122,12 +122,10 @@
     private fun request(uri: URI, requestTimeout: Duration = timeout) =
         HttpRequest.newBuilder(uri).timeout(requestTimeout.toJavaDuration())
 
-    private fun objectUri(key: String) = uri("/objects/" + key.split('/').joinToString("/", transform = ::encode))
+    private fun objectUri(key: String) = uri("/objects/" + key.split('/').joinToString("/", transform = ::encodeForUri))
 
     private fun uri(path: String) = URI(baseUri.toString().trimEnd('/') + path)
 
-    private fun encode(text: String) = URLEncoder.encode(text, Charsets.UTF_8).replace("+", "%20")
-
     private fun HttpResponse<String>.objectVersion(): ObjectVersion? =
         headers().firstValue("ETag").orElse("").trim('"').toLongOrNull()?.let(::ObjectVersion)
 
