Identify callers by key, open member connections for a customer, run operations through an executor

Cause: members are not told on whose behalf a statement runs and unknown keys are served, so a deployment whose configuration has customers can't be served at all. Checked: the specs of sessions, line protocol and the platform's path; without customers nothing changes.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/InteractiveConfiguration.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/InteractiveConfiguration.kt
@@ -1,6 +1,7 @@
 package dev.kumquatknot.core.interactive
 
 import dev.kumquatknot.core.configuration.Rank
+import dev.kumquatknot.core.customer.CustomerDirectory
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.MemberName
@@ -26,6 +27,7 @@
  * @property statementTimeout maximum time for a single statement.
  * @property target time within which callers want a whole operation to finish.
  * @property maximumStaleness maximum age of the data that reads accept; ignored by [ReadConsistency.CURRENT].
+ * @property isPublic whether callers need no key.
  */
 public data class InteractiveRoute(
     val name: String,
@@ -35,6 +37,7 @@
     val target: Duration,
     val rank: Rank,
     val maximumStaleness: Duration,
+    val isPublic: Boolean = false,
 )
 
 /**
@@ -43,12 +46,14 @@
  * @property number increases with each configuration.
  * @property connections maximum of connections that a member of each group accepts from all VMs together.
  * @property transactionIdle idle time after which an open transaction may be ended.
+ * @property customers the organisations whose callers are served; empty if callers need no key.
  */
 public data class InteractiveConfiguration(
     val number: Long,
     val routes: Map<String, InteractiveRoute>,
     val connections: Map<DatabaseName, Int>,
     val transactionIdle: Duration,
+    val customers: CustomerDirectory = CustomerDirectory.EMPTY,
 ) {
     public companion object {
         /** Placeholder before the first configuration; without routes, nothing is served. */
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberCommand.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberCommand.kt
@@ -64,6 +64,7 @@
     TOO_MANY_CONNECTIONS(true),
     ABORTED(true),
     UNKNOWN_DATABASE(true),
+    UNAUTHENTICATED(true),
     MALFORMED(true),
     TOO_LARGE(true),
     FAILED(false),
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.customer.CallerKey
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.Region
@@ -60,7 +61,8 @@
     private val services = SessionServices(
         environment = environment,
         route = { configuration.routes[it] },
-        group = ::group,
+        admission = { route, key -> CallerAdmission.of(configuration.customers, route, key) },
+        executor = LocalExecutor(::group, environment, OperationLimiter.UNLIMITED),
         transactionIdle = { configuration.transactionIdle },
         onAnswer = StatementRecorder(environment, ports.metrics)::record,
         onReply = { if (closing && it.isIdle) it.close() },
@@ -113,6 +115,7 @@
             "previous" to previous,
             "routes" to next.routes.size,
         )
+        sessions.toList().forEach { it.closeIfKeyWithdrawn() }
         openWaitingSessions()
     }
 
@@ -130,12 +133,12 @@
     }
 
     /**
-     * Opens a session on [database] for the caller at [peer]; [done] is called once. A node that has just started
+     * Opens a session on [database] for the caller with [key] at [peer]; [done] is called once. A node that has just started
      * waits for its first configuration, since the databases are unknown until then.
      */
-    public fun open(database: String, peer: SessionPeer, done: (SessionOpening) -> Unit) {
-        if (isInitialized) return done(openNow(database, peer))
-        val opening = WaitingOpening { done(openNow(database, peer)) }
+    public fun open(database: String, key: CallerKey?, peer: SessionPeer, done: (SessionOpening) -> Unit) {
+        if (isInitialized) return done(openNow(database, key, peer))
+        val opening = WaitingOpening { done(openNow(database, key, peer)) }
         waitingOpenings += opening
         environment.schedule(environment.limits.firstConfigurationTimeout) {
             if (waitingOpenings.remove(opening)) {
@@ -162,11 +165,13 @@
 
     private val isInitialized: Boolean get() = configuration.number > 0 && members != null
 
-    private fun openNow(database: String, peer: SessionPeer): SessionOpening {
-        if (database !in configuration.routes) {
-            return SessionOpening.Rejected(RejectionCode.UNKNOWN_DATABASE, "no database is called $database")
+    private fun openNow(database: String, key: CallerKey?, peer: SessionPeer): SessionOpening {
+        val route = configuration.routes[database]
+            ?: return SessionOpening.Rejected(RejectionCode.UNKNOWN_DATABASE, "no database is called $database")
+        if (CallerAdmission.of(configuration.customers, route, key) is CallerAdmission.UnknownKey) {
+            return SessionOpening.Rejected(RejectionCode.UNAUTHENTICATED, "the key is not known")
         }
-        val session = InteractiveSession(database, peer, services)
+        val session = InteractiveSession(database, key, peer, services)
         sessions += session
         return SessionOpening.Opened(session)
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -1,5 +1,7 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.customer.CallerKey
+import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.identity.RequestId
 import dev.kumquatknot.core.interactive.InteractiveRoute
@@ -19,6 +21,7 @@
  */
 public class InteractiveSession internal constructor(
     private val database: String,
+    private val key: CallerKey?,
     private val peer: SessionPeer,
     private val services: SessionServices,
 ) {
@@ -26,6 +29,8 @@
     private val queuedStatements = ArrayDeque<Pair<RequestId, SessionStatement>>()
     private var memory = SessionState()
     private var transaction: SessionTransaction? = null
+    private var transactionCustomer: CustomerName? = null
+    private var cancelRunning: Cancel? = null
     private var lastWritten: HistoryPoint? = null
     private var ended = false
     private var idleTimer: Cancel? = null
@@ -49,6 +54,7 @@
         ended = true
         idleTimer?.invoke()
         queuedStatements.clear()
+        cancelRunning?.invoke()
         transaction?.abandon()
         transaction = null
         services.onEnd(this)
@@ -106,15 +112,15 @@
             transaction?.abandon()
             return reject(RejectionCode.MALFORMED, "a transaction is open")
         }
-        val route = route() ?: return
-        val group = services.group(route.group)
-        transaction = SessionTransaction(route, statement.readOnly, group, environment)
+        val (route, customer) = admitted() ?: return
+        transaction = services.executor.begin(route, statement.readOnly)
+        transactionCustomer = customer
         complete()
     }
 
     private fun commit(request: RequestId, statement: SessionStatement.Commit) {
         val open = transaction ?: return reject(RejectionCode.MALFORMED, "no transaction is open")
-        val call = call(request, open.route, StatementAccess.READ, null, statement.text)
+        val call = call(request, open.route, transactionCustomer, StatementAccess.READ, null, statement.text)
         open.commit(call) { reply, written ->
             if (reply.state == TransactionState.IDLE) transaction = null
             written?.let(::recordWrite)
@@ -143,35 +149,51 @@
     private fun run(request: RequestId, access: StatementAccess, plan: StatementPlan?, text: String) {
         val open = transaction
         if (open != null) {
-            val call = call(request, open.route, access, plan, text)
+            val call = call(request, open.route, transactionCustomer, access, plan, text)
             open.run(call) { answer(call, it, open.facts(call)) }
             return
         }
-        val route = route() ?: return
-        val call = call(request, route, access, plan, text)
-        SingleStatement(call, services.group(route.group), environment) { outcome ->
+        val (route, customer) = admitted() ?: return
+        val call = call(request, route, customer, access, plan, text)
+        var isAnswered = false
+        val cancel = services.executor.run(call) { outcome ->
+            isAnswered = true
+            cancelRunning = null
             outcome.written?.let(::recordWrite)
             answer(call, outcome.reply, outcome.facts)
-        }.start()
+        }
+        if (!isAnswered) cancelRunning = cancel
     }
 
-    /** Returns the route in force; without one, rejects the statement, closes the session and returns null. */
-    private fun route(): InteractiveRoute? {
+    /**
+     * Returns the route in force and the customer of the caller. Without a route, or if the caller's key is no longer
+     * valid, rejects the statement, closes the session and returns null.
+     */
+    private fun admitted(): Pair<InteractiveRoute, CustomerName?>? {
         val route = services.route(database)
-        if (route == null) {
-            reject(RejectionCode.UNKNOWN_DATABASE, "no database is called $database")
-            close()
+        when (val admission = route?.let { services.admission(it, key) }) {
+            is CallerAdmission.Admitted -> return route to admission.customer
+            is CallerAdmission.UnknownKey -> reject(RejectionCode.UNAUTHENTICATED, "the key is not known")
+            null -> reject(RejectionCode.UNKNOWN_DATABASE, "no database is called $database")
         }
-        return route
+        close()
+        return null
+    }
+
+    /** Closes the session if it is idle and the caller's key is no longer valid. */
+    internal fun closeIfKeyWithdrawn() {
+        val route = services.route(database) ?: return
+        if (isIdle && services.admission(route, key) is CallerAdmission.UnknownKey) close()
     }
 
     private fun call(
         request: RequestId,
         route: InteractiveRoute,
+        customer: CustomerName?,
         access: StatementAccess,
         plan: StatementPlan?,
         text: String,
-    ) = StatementCall(request, route, access, plan, text, memory.values, lastWritten, environment.now())
+    ) = StatementCall(request, route, customer, access, plan, text, memory.values, lastWritten, environment.now())
 
     private fun recordWrite(point: HistoryPoint) {
         if (lastWritten?.let { point > it } ?: true) lastWritten = point
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
@@ -6,6 +6,7 @@
 import dev.kumquatknot.core.admission.QueueChanges
 import dev.kumquatknot.core.admission.Ticket
 import dev.kumquatknot.core.admission.WorkItem
+import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.core.interactive.MemberReply
@@ -22,9 +23,13 @@
     CLOSED,
 }
 
-/** A request for a slot and a connection. The pool calls either [granted] or [refused], exactly once. */
+/**
+ * A request for a slot and a connection for the statements of [customer]. The pool calls either [granted] or [refused],
+ * exactly once.
+ */
 internal class PoolRequest(
     val item: WorkItem,
+    val customer: CustomerName?,
     val granted: (PooledLink, PoolSlot) -> Unit,
     val refused: (PoolRefusal) -> Unit,
 )
@@ -145,7 +150,7 @@
     fun releaseLink(link: PooledLink) {
         if (link.isClosed) return
         if (closed) return link.close()
-        val waiter = nextWaiter()
+        val waiter = nextWaiter(link)
         if (waiter != null) {
             waiter.complete(link)
         } else {
@@ -159,9 +164,13 @@
      */
     fun acquireLink(done: (PooledLink?) -> Unit) {
         useInterval.record(environment.now())
-        val link = pollIdle()
+        val link = pollIdle { true }
         if (link != null) return done(link)
-        linkWaiters.addFirst(LinkWaiter(done).also { startTimer(it, environment.limits.reportTimeout) })
+        linkWaiters.addFirst(
+            LinkWaiter(null, accepts = {
+                true
+            }, done).also { startTimer(it, environment.limits.reportTimeout) },
+        )
         openMore()
     }
 
@@ -258,9 +267,10 @@
     private fun connect(request: PoolRequest, ticket: Ticket) {
         useInterval.record(environment.now())
         val slot = PoolSlot(this, ticket, environment.now())
-        val link = pollIdle()
+        val customer = request.customer
+        val link = pollIdle { it.customer == customer }
         if (link != null) return request.granted(link, slot)
-        val waiter = LinkWaiter { found ->
+        val waiter = LinkWaiter(customer, accepts = { it.customer == customer }) { found ->
             if (found != null) {
                 slot.connected(environment.now())
                 request.granted(found, slot)
@@ -274,18 +284,14 @@
         openMore()
     }
 
-    private fun pollIdle(): PooledLink? {
-        while (true) {
-            val link = idle.removeLastOrNull() ?: return null
-            if (!link.isClosed) return link
-        }
+    private fun pollIdle(accepts: (PooledLink) -> Boolean): PooledLink? {
+        idle.removeAll { it.isClosed }
+        return idle.lastOrNull(accepts)?.also { idle.remove(it) }
     }
 
-    private fun nextWaiter(): LinkWaiter? {
-        while (true) {
-            val waiter = linkWaiters.removeFirstOrNull() ?: return null
-            if (!waiter.ended) return waiter
-        }
+    private fun nextWaiter(link: PooledLink): LinkWaiter? {
+        linkWaiters.removeAll { it.ended }
+        return linkWaiters.firstOrNull { it.accepts(link) }?.also { linkWaiters.remove(it) }
     }
 
     private fun startTimer(waiter: LinkWaiter, after: Duration) {
@@ -297,9 +303,10 @@
 
     private fun openMore() {
         val wanted = linkWaiters.size.coerceIn(1, environment.limits.maximumConcurrentOpenings)
-        while (!closed && opening < wanted && mayOpen()) {
+        while (!closed && opening < wanted && (mayOpen() || replaceIdle())) {
+            val customer = linkWaiters.getOrNull(opening)?.customer
             opening++
-            val link = PooledLink(member, environment, this)
+            val link = PooledLink(member, customer, environment, this)
             links += link
             link.open(environment.openLink, environment.limits.openTimeout)
         }
@@ -319,6 +326,14 @@
         }
     }
 
+    /** Closes the idle connection that was unused for longest if work of another customer waits for one. */
+    private fun replaceIdle(): Boolean {
+        if (linkWaiters.isEmpty() || environment.now() < nextOpeningAt) return false
+        val replaced = idle.firstOrNull() ?: return false
+        replaced.close()
+        return true
+    }
+
     private fun mayOpen(): Boolean {
         val maximum = budget().maximum
         val share = (maximum * environment.limits.connectionShare).toInt().coerceAtLeast(1)
@@ -338,7 +353,11 @@
         changes.granted.forEach { ticket -> queuedRequests.remove(ticket)?.let { connect(it, ticket) } }
     }
 
-    private class LinkWaiter(private val done: (PooledLink?) -> Unit) {
+    private class LinkWaiter(
+        val customer: CustomerName?,
+        val accepts: (PooledLink) -> Boolean,
+        private val done: (PooledLink?) -> Unit,
+    ) {
         var timer: Cancel? = null
         var ended = false
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/PooledLink.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/PooledLink.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.interactive.ConnectionState
 import dev.kumquatknot.core.interactive.DiscoveredMember
@@ -25,9 +26,10 @@
     fun linkEnded(link: PooledLink, end: LinkEnd, opened: Boolean)
 }
 
-/** One connection to a member, which runs one batch of commands at a time. */
+/** One connection to a member for the statements of [customer], which runs one batch of commands at a time. */
 internal class PooledLink(
     val member: DiscoveredMember,
+    val customer: CustomerName?,
     private val environment: NodeEnvironment,
     private val owner: LinkListener,
 ) : MemberLinkEvents {
@@ -58,7 +60,7 @@
 
     fun open(openLink: OpenMemberLink, timeout: Duration) {
         openTimer = environment.schedule(timeout) { endBroken("no answer to the opening within $timeout") }
-        link = openLink(member, this)
+        link = openLink(member, customer, this)
     }
 
     /** Runs [commands] and calls [done] once with all replies, or with those received before the connection ended. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/Ports.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/Ports.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.MemberCommand
@@ -47,8 +48,12 @@
     public data class Broken(val detail: String) : LinkEnd
 }
 
-/** Opens a connection to a member. */
-public typealias OpenMemberLink = (member: DiscoveredMember, events: MemberLinkEvents) -> MemberLink
+/**
+ * Opens a connection to a member for the statements of one customer; without a customer, for callers who need no key
+ * and for the proxy's own statements.
+ */
+public typealias OpenMemberLink =
+    (member: DiscoveredMember, customer: CustomerName?, events: MemberLinkEvents) -> MemberLink
 
 /** The caller's end of a session; used on the node's event loop only. */
 public interface SessionPeer {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionServices.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionServices.kt
@@ -1,6 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
-import dev.kumquatknot.core.identity.DatabaseName
+import dev.kumquatknot.core.customer.CallerKey
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.SessionReply
 import kotlin.time.Duration
@@ -9,6 +9,7 @@
  * Functions of the node that a session uses.
  *
  * @property route the route in force for a database name.
+ * @property admission whether a caller with a key may use a route, and as which customer.
  * @property onAnswer called with each final reply to a statement that needed a member.
  * @property onReply called after a reply was sent.
  * @property onEnd called once when a session has ended.
@@ -16,7 +17,8 @@
 internal class SessionServices(
     val environment: NodeEnvironment,
     val route: (database: String) -> InteractiveRoute?,
-    val group: (DatabaseName) -> GroupPools,
+    val admission: (InteractiveRoute, CallerKey?) -> CallerAdmission,
+    val executor: OperationExecutor,
     val transactionIdle: () -> Duration,
     val onAnswer: (StatementCall, SessionReply, RoutingDetails) -> Unit,
     val onReply: (InteractiveSession) -> Unit,
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -46,6 +46,7 @@
     private fun offer(pool: MemberPool, required: HistoryPoint?) = pool.submit(
         PoolRequest(
             item = call.workItem(),
+            customer = call.customer,
             granted = { link, slot ->
                 search.recordGrant(call)
                 prepare(pool, link, slot, required)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
@@ -1,6 +1,7 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.admission.WorkItem
+import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.databasegroup.Confirmation
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.identity.KindName
@@ -18,6 +19,7 @@
 /**
  * A caller's statement that needs a member, with the session values under which it runs.
  *
+ * @property customer the customer of the caller; null if callers need no key.
  * @property plan the prepared statement to execute; null if [text] is the whole statement.
  * @property text the statement, or the arguments of the plan.
  * @property lastWritten newest point that the session has written; null if it wrote nothing.
@@ -25,6 +27,7 @@
 internal data class StatementCall(
     val request: RequestId,
     val route: InteractiveRoute,
+    val customer: CustomerName?,
     val access: StatementAccess,
     val plan: StatementPlan?,
     val text: String,
@@ -50,7 +53,7 @@
     /** Returns the admission request of the statement. */
     fun workItem(): WorkItem = WorkItem(
         id = request,
-        team = TeamName(route.group.value),
+        team = TeamName(customer?.value ?: route.group.value),
         kind = KindName(route.name),
         rank = route.rank,
         floorPercent = 0,
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.history.LogPosition
 import dev.kumquatknot.core.history.Term
@@ -23,6 +24,7 @@
     val values: Map<String, String>,
     val connection: Int,
     val state: TransactionState,
+    val customer: CustomerName? = null,
 )
 
 /** A database group in memory: three members, of which one leads; replicas apply commits only on [replicate]. */
@@ -55,9 +57,9 @@
         members[index].applied = point
     }
 
-    fun open(member: DiscoveredMember, events: MemberLinkEvents): MemberLink {
+    fun open(member: DiscoveredMember, customer: CustomerName?, events: MemberLinkEvents): MemberLink {
         val target = members.first { it.name == member.name.value }
-        return target.Link(events, connections++).also { it.start() }
+        return target.Link(events, connections++, customer).also { it.start() }
     }
 
     fun discovered(leaving: Set<String> = emptySet()) = members.map { it.discovered(it.name in leaving) }
@@ -126,7 +128,11 @@
         claimsPrimary = leads,
     )
 
-    inner class Link(private val events: MemberLinkEvents, private val number: Int) : MemberLink {
+    inner class Link(
+        private val events: MemberLinkEvents,
+        private val number: Int,
+        private val customer: CustomerName?,
+    ) : MemberLink {
         private val values = HashMap<String, String>()
         private val plans = HashSet<String>()
         private var state = TransactionState.IDLE
@@ -211,7 +217,7 @@
             val needsLead = access == StatementAccess.WRITE || (state == TransactionState.OPEN && updatable)
             if (needsLead && !leads) return rejected(RejectionCode.READ_ONLY)
             if (after != null && after > end) return rejected(RejectionCode.LAGGING)
-            group.runs += RunRecord(name, request, values.toMap(), number, state)
+            group.runs += RunRecord(name, request, values.toMap(), number, state, customer)
             if (access == StatementAccess.WRITE) {
                 if (state == TransactionState.IDLE) group.commits++ else wrote = true
             }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -81,7 +81,7 @@
         var closed = false
 
         init {
-            node.open(database, this) { opening = it }
+            node.open(database, null, this) { opening = it }
         }
 
         val session get() = (opening as SessionOpening.Opened).session
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/SharedConnectionsSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/SharedConnectionsSpec.kt
@@ -60,7 +60,7 @@
         private var requests = 0
 
         init {
-            node.open(database, this) { opening = it }
+            node.open(database, null, this) { opening = it }
         }
 
         fun send(statement: SessionStatement) {
