Maintain pools and poll members when it is due, and by the role of a VM

Cause: every VM maintained all pools every 50 ms and checked all members for polls every 100 ms, and every VM polled every member, also without load.

Change: a RestingTimer runs maintenance and polls on the ticks of today's intervals, but only on those on which something may be due, and at least once a second. Pools need maintenance while requests wait, connections are being opened, surplus connections are idle, members are missing, or an operation used the group in the last 5 s. A VM that is not the home VM of a group polls its members only while it uses the group, decides failovers or has commits that no replica has received. After a pause, failures count anew and the primary that discovery lists is preferred over the former proof.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PrimaryTracker.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PrimaryTracker.kt
@@ -41,6 +41,14 @@
         return true
     }
 
+    /**
+     * Prefers what members claim in discovery over a proof that nobody has renewed for a while. Without a claim, the
+     * proof stays.
+     */
+    public fun preferClaim() {
+        if (claimed != null && claimed != proved) proved = null
+    }
+
     /** Records the [member] that claims to be the primary in discovery, or null where none does. */
     public fun claim(member: MemberName?) {
         claimed = member
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.interactive.MemberCommand
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -9,21 +10,46 @@
  * Polls members whose replies to statements are not recent enough: the primary for proofs of freshness, replicas for
  * the ends of their logs. While a primary is suspected, all members are polled, so that its successor is found soon.
  */
-internal class GroupPoller(private val environment: NodeEnvironment) {
+internal class GroupPoller(
+    private val environment: NodeEnvironment,
+    private val isHome: (DatabaseName) -> Boolean,
+    private val onFailure: () -> Unit,
+) {
     private val pendingPolls = HashSet<MemberPool>()
 
-    /** Polls the members of [group] that are due; a VM that [decides] failovers polls the primary more often. */
-    fun poll(group: GroupPools, decides: Boolean) {
+    /**
+     * Polls the members of [group] that are due; a VM that [decides] failovers polls the primary more often. Returns
+     * the time of the next due poll.
+     */
+    fun poll(group: GroupPools, decides: Boolean): Duration {
+        if (!polls(group, decides)) {
+            group.pauseObservation()
+            return Duration.INFINITE
+        }
+        group.resumeObservation()
         val now = environment.now()
         val suspected = group.isPrimarySuspected(now)
         group.all.forEach { pool ->
-            val needed = suspected || isPollDue(group, pool, now, decides)
-            val isWorthwhile = decides || pool.mayPoll
-            if (needed && isWorthwhile && pool !in pendingPolls) sendPoll(pool, pollCommands(group, pool, decides))
+            val needed = suspected || now >= dueTime(group, pool, decides)
+            if (needed && isWorthwhile(pool, decides) && pool !in pendingPolls) {
+                sendPoll(pool, pollCommands(group, pool, decides))
+            }
         }
+        // Work of callers changes what is due at any time.
+        return if (decides || suspected || group.isInUse) now else nextDueTime(group, decides)
     }
 
-    private fun isPollDue(group: GroupPools, pool: MemberPool, now: Duration, decides: Boolean): Boolean {
+    /** Other VMs than the home VM learn of a change of the primary when they use the group. */
+    private fun polls(group: GroupPools, decides: Boolean): Boolean =
+        decides || group.isInUse || isHome(group.group) || group.confirmer.stalledSince != null
+
+    private fun isWorthwhile(pool: MemberPool, decides: Boolean): Boolean = decides || pool.mayPoll
+
+    private fun nextDueTime(group: GroupPools, decides: Boolean): Duration = group.all
+        .filter { isWorthwhile(it, decides) && it !in pendingPolls }
+        .minOfOrNull { dueTime(group, it, decides) } ?: Duration.INFINITE
+
+    private fun dueTime(group: GroupPools, pool: MemberPool, decides: Boolean): Duration {
         val leads = group.leads(pool)
         val since = if (leads) group.proofs.latestProofRequestedAt else pool.health.answeredAt
         val limit = when {
@@ -33,7 +59,8 @@
             else -> PROOF_AGE
         }
         val isUnproved = leads && !group.belief.isProved
-        return since == null || isUnproved || pool.health.failures > 0 || now - since > limit
+        val isDue = since == null || isUnproved || pool.health.failures > 0
+        return if (isDue) -Duration.INFINITE else since + limit + RESOLUTION
     }
 
     /**
@@ -69,19 +96,26 @@
                 val openingFor = pool.openingSince?.let { now - it }
                 val unanswered = openingFor != null && openingFor >= environment.limits.reportTimeout
                 if (unanswered) pool.health.recordFailure(now, refused = false)
+                onFailure()
                 return@acquireLink
             }
             link.run(pollCommands, environment.limits.reportTimeout) { result ->
                 pendingPolls -= pool
                 when (result) {
                     is BatchResult.Answered -> pool.releaseLink(link)
-                    is BatchResult.Broken -> pool.health.recordFailure(environment.now(), refused = false)
+                    is BatchResult.Broken -> {
+                        pool.health.recordFailure(environment.now(), refused = false)
+                        onFailure()
+                    }
                 }
             }
         }
     }
 
     private companion object {
+        /** A proof or an answer is due for renewal as soon as it is older than its limit. */
+        val RESOLUTION = 1.milliseconds
+
         /** Age of the newest proof above which the primary is polled; well below the staleness that routes allow. */
         val PROOF_AGE: Duration = 800.milliseconds
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -21,18 +21,30 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** Receives what [GroupPools] need from their node. */
+internal interface GroupListener {
+    /** The group has come into use or has other members, so that maintenance and polls may be due. */
+    fun changed()
+
+    /** The primary of [group] turned out not to lead. */
+    fun primaryUnknown(group: GroupPools)
+}
+
 /** Connection pools for the members of one group, with the believed primary and the proofs of replica freshness. */
 internal class GroupPools(
     val group: DatabaseName,
     private val environment: NodeEnvironment,
     private val isRemote: (DiscoveredMember) -> Boolean,
     private val connections: () -> ConnectionBudget,
-    private val onPrimaryUnknown: (GroupPools) -> Unit,
+    private val listener: GroupListener,
 ) {
     private val pools = LinkedHashMap<MemberName, MemberPool>()
     private val placement = ReadPlacement()
     private val history = MemberHistory()
     private var replicasLaggedAt = -Duration.INFINITE
+    private var usedAt = -Duration.INFINITE
+    private var observedSince: Duration? = null
+    private var maintainedAt = -Duration.INFINITE
 
     val belief = PrimaryTracker()
     val proofs = FreshnessProofs()
@@ -64,11 +76,51 @@
         val names = members.map { it.name }.toSet()
         pools.values.filter { it.member.name !in names && it.missingSince == null }.forEach { it.missingSince = now }
         belief.claim(members.singleOrNull { it.claimsPrimary }?.name)
+        listener.changed()
+    }
+
+    /** Whether this VM served an operation of the group lately. */
+    val isInUse: Boolean get() = environment.now() - usedAt < USE_PERIOD
+
+    /** Whether pools have to be maintained soon, other than to replace a lost connection. */
+    val needsMaintenance: Boolean
+        get() = isInUse || pools.values.any { it.missingSince != null || it.needsMaintenance }
+
+    /** Records that this VM serves an operation of the group. */
+    fun recordUse() {
+        val wasInUse = isInUse
+        usedAt = environment.now()
+        if (wasInUse) return
+        resumeObservation()
+        listener.changed()
+    }
+
+    /**
+     * Records that this VM polls the members from now on. What it knows of them is as old as the pause: failures count
+     * anew, and discovery knows of a change of the primary that this VM has missed.
+     */
+    fun resumeObservation() {
+        if (observedSince != null) return
+        val now = environment.now()
+        observedSince = now
+        pools.values.forEach { it.health.resumeObservation(now) }
+        belief.preferClaim()
+    }
+
+    /** Records that this VM no longer polls the members. */
+    fun pauseObservation() {
+        observedSince = null
+    }
+
+    /** Maintains the pools if they need it, and otherwise now and then, to replace connections that were lost. */
+    fun maintainIfDue() {
+        if (needsMaintenance || environment.now() - maintainedAt >= RestingTimer.LONGEST_REST) maintain()
     }
 
     /** Removes members that discovery has not listed for a while and maintains the other pools. */
-    fun maintain() {
+    private fun maintain() {
         val now = environment.now()
+        maintainedAt = now
         val gone = pools.values.filter { pool ->
             pool.missingSince?.let { now - it > environment.limits.removalDelay }
                 ?: false
@@ -103,10 +155,12 @@
     val primaryPool: MemberPool? get() = belief.primary?.let { pools[it] }
 
     /**
-     * Time of the last proof of the primary's lead if the primary is lost; null if it is not lost or was never proved.
+     * Time of the last proof of the primary's lead if the primary is lost, or of the first poll after a pause; null if
+     * it is not lost or was never proved.
      */
     fun primaryLostSince(): Duration? {
-        val seenAt = proofs.latestProofRequestedAt ?: return null
+        val polledSince = observedSince ?: return null
+        val seenAt = proofs.latestProofRequestedAt?.let { maxOf(it, polledSince) } ?: return null
         val pool = primaryPool
         val isSuspected = pool == null || !belief.isProved || pool.health.failures > 0
         return seenAt.takeIf { isSuspected && environment.now() - it > PRIMARY_LOSS_TIMEOUT }
@@ -153,6 +207,7 @@
     private fun recordReply(pool: MemberPool, command: MemberCommand, sentAt: Duration, reply: MemberReply) {
         val name = pool.member.name
         val point = reply.point
+        if (command.isOfCaller) recordUse()
         reply.report?.let { report ->
             pool.health.recordReport(report, environment.now())
             pool.updateConnectionCount(report.connections)
@@ -177,9 +232,12 @@
     private fun disprove(pool: MemberPool, sentAt: Duration) {
         if (!belief.disprove(pool.member.name, sentAt)) return
         logBelief(Event.PRIMARY_DISPROVED, pool, sentAt)
-        onPrimaryUnknown(this)
+        listener.primaryUnknown(this)
     }
 
+    private val MemberCommand.isOfCaller: Boolean
+        get() = this is MemberCommand.Run || this is MemberCommand.Execute || this is MemberCommand.Commit
+
     private fun provesLead(command: MemberCommand, reply: MemberReply): Boolean = when (command) {
         is MemberCommand.Begin -> !command.readOnly
         is MemberCommand.Run -> command.access == StatementAccess.WRITE
@@ -208,6 +266,9 @@
     )
 
     private companion object {
+        /** Time after an operation for which the group counts as used. */
+        val USE_PERIOD = 5.seconds
+
         /** Time without a response of the primary after which it counts as lost; by then two polls went unanswered. */
         val PRIMARY_LOSS_TIMEOUT = 800.milliseconds
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -47,15 +47,20 @@
  * Serves interactive sessions: holds the configuration in force, the discovered members and the open sessions.
  *
  * All calls and scheduled tasks run on one event loop and must not block.
+ *
+ * @param isHome whether this VM is a home VM of a group, which polls the group's members also while it does not use them.
  */
 public class InteractiveNode(
     private val place: VmPlace,
     ports: InteractivePorts,
     limits: InteractiveLimits = InteractiveLimits(),
+    isHome: (DatabaseName) -> Boolean = { true },
 ) {
     private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
     private val groups = LinkedHashMap<DatabaseName, GroupPools>()
-    private val poller = GroupPoller(environment)
+    private val poller = GroupPoller(environment, isHome, onFailure = { pollTimer.wake() })
+    private val maintenanceTimer = RestingTimer(environment, limits.maintenanceInterval) { maintain() }
+    private val pollTimer: RestingTimer = RestingTimer(environment, limits.pollInterval) { pollMembers() }
     private val sessions = LinkedHashSet<InteractiveSession>()
     private val waitingOpenings = LinkedHashSet<WaitingOpening>()
     private val services = SessionServices(
@@ -92,14 +97,23 @@
 
     /** Whether this VM decides failovers; it then polls members more often and for more data. */
     public var decidesFailovers: Boolean = false
+        set(value) {
+            val hasChanged = value != field
+            field = value
+            if (hasChanged) wakeTimers()
+        }
 
     /** Number of VMs that use the members, this one included; 0 while it is unknown. */
     public var fleetSize: Int = 0
+        set(value) {
+            field = value
+            wakeTimers()
+        }
 
-    /** Starts the periodic maintenance of pools and polling of members. */
+    /** Starts the maintenance of pools and the polling of members. */
     public fun start() {
-        repeatEvery(environment.limits.maintenanceInterval) { groups.values.forEach { it.maintain() } }
-        repeatEvery(environment.limits.pollInterval) { groups.values.forEach { poller.poll(it, decidesFailovers) } }
+        maintenanceTimer.start()
+        pollTimer.start()
     }
 
     /** Applies [next] if its number is higher than that of the current configuration. */
@@ -109,6 +123,7 @@
         configuration = next
         next.connections.keys.forEach(::group)
         distributeMembers()
+        wakeTimers()
         environment.events.log(
             Event.CONFIGURATION_ACCEPTED,
             "number" to next.number,
@@ -191,9 +206,35 @@
         environment = environment,
         isRemote = ::isRemote,
         connections = { ConnectionBudget(configuration.connections[name] ?: 0, fleetSize) },
-        onPrimaryUnknown = { poller.poll(it, decidesFailovers) },
+        listener = object : GroupListener {
+            override fun changed() = wakeTimers()
+
+            override fun primaryUnknown(group: GroupPools) {
+                poller.poll(group, decidesFailovers)
+                pollTimer.wake()
+            }
+        },
     )
 
+    private fun wakeTimers() {
+        maintenanceTimer.wake()
+        pollTimer.wake()
+    }
+
+    /** Maintains the pools that need it and returns the time at which some of them need it again. */
+    private fun maintain(): Duration {
+        groups.values.forEach { it.maintainIfDue() }
+        return if (groups.values.any { it.needsMaintenance }) environment.now() else Duration.INFINITE
+    }
+
+    /** Polls the members that are due and returns the time of the next due poll. */
+    private fun pollMembers(): Duration {
+        val due = groups.values.minOfOrNull { poller.poll(it, decidesFailovers) } ?: Duration.INFINITE
+        // A poll may have begun to open a connection.
+        if (groups.values.any { it.needsMaintenance }) maintenanceTimer.wake()
+        return due
+    }
+
     private fun distributeMembers() {
         val known = members ?: return
         val byGroup = known.groupBy { it.group }
@@ -203,12 +244,5 @@
     private fun isRemote(member: DiscoveredMember): Boolean =
         place.regions[member.dataCentre] != place.regions[place.dataCentre]
 
-    private fun repeatEvery(interval: Duration, task: () -> Unit) {
-        environment.schedule(interval) {
-            repeatEvery(interval, task)
-            task()
-        }
-    }
-
     private class WaitingOpening(val open: () -> Unit)
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/LocalTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/LocalTransaction.kt
@@ -87,6 +87,7 @@
     }
 
     private fun rollBack(connection: PooledLink) {
+        group.recordUse()
         connection.memory = connection.memory.copy(uncertain = true)
         pool?.let { connection.rollBackAndRelease(it, environment.limits.sessionSetupTimeout) }
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberHealth.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberHealth.kt
@@ -27,6 +27,16 @@
     /** Whether the member should get reads. */
     val isUsable: Boolean get() = failures < UNUSABLE_AFTER_FAILURES
 
+    private var observedSince = -Duration.INFINITE
+
+    /** Discards the failures seen before [now], as this VM has not polled the member for a while. */
+    fun resumeObservation(now: Duration) {
+        observedSince = now
+        failingSince = null
+        failures = 0
+        refusing = false
+    }
+
     fun recordAnswer(now: Duration) {
         answeredAt = now
         failingSince = null
@@ -35,7 +45,7 @@
     }
 
     fun recordFailure(now: Duration, refused: Boolean) {
-        if (failingSince == null) failingSince = answeredAt ?: now
+        if (failingSince == null) failingSince = maxOf(answeredAt ?: now, observedSince)
         failures++
         refusing = refused
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
@@ -174,12 +174,18 @@
         openMore()
     }
 
+    /** Whether requests wait, a connection is being opened or more are idle than are kept. */
+    val needsMaintenance: Boolean
+        get() = queuedRequests.isNotEmpty() || linkWaiters.isNotEmpty() || opening > 0 || surplusIdle > 0
+
+    private val surplusIdle: Int
+        get() = idle.size - if (isScarce) 0 else environment.limits.maximumIdleConnections
+
     /** Refuses requests that waited too long and closes surplus idle connections. */
     fun maintain() {
         val now = environment.now()
         apply(queue.expire(now))
-        val limits = environment.limits
-        val surplus = idle.size - if (isScarce) 0 else limits.maximumIdleConnections
+        val surplus = surplusIdle
         if (surplus > 0) idle.filter { now - it.idleSince > idleCloseDelay() }.take(surplus).forEach { it.close() }
         val isUnconnected = links.isEmpty() && opening == 0
         val keepsOne = leavingSince == null && !isScarce
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
@@ -39,6 +39,7 @@
 
     /** Finds the next member for [call]. */
     fun next(call: StatementCall, done: (SearchResult) -> Unit) {
+        group.recordUse()
         val needed = if (replicaAllowed) group.requiredPoint(call.route, call.lastWritten) else null
         val pool = needed?.let { group.poolForRead(it, tried) } ?: group.availablePrimary()
         when {
