Read the record of the failover duty seldom on most VMs

Cause: every VM read the record every 0.9 s, and checked every 100 ms whether it holds the duty.

Change: from the third VM of a region on, by a rank that the fleet view will give, a VM reads the record every 5 s. If the holder has renewed it too seldom meanwhile, the VM reads it again when the lease has ended, so that a holder that is lost with all candidates is replaced within 5 s and the lease of 3 s. The FailoverCoordinator rests while its VM does not hold the duty, and is told of changes.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/duty/DutyLease.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/duty/DutyLease.kt
@@ -39,6 +39,9 @@
  */
 public class DutyLease(private val processName: String, private val validity: Duration) {
     private var observed: DutyRecord? = null
+
+    /** The record that was read or written last; null if there is none. */
+    public val latestRecord: DutyRecord? get() = observed
     private var observedAt: Duration? = null
 
     /** This process's record as the store certainly has it; a stale read is not enough to write over a record. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewer.kt
@@ -4,6 +4,7 @@
 import dev.kumquatknot.core.duty.DutyLease
 import dev.kumquatknot.core.duty.DutyRecord
 import dev.kumquatknot.core.duty.LeaseStep
+import dev.kumquatknot.core.duty.ObservationSchedule
 import dev.kumquatknot.core.platform.ConditionalStore
 import dev.kumquatknot.core.platform.ObjectVersion
 import dev.kumquatknot.core.platform.StoreEra
@@ -18,12 +19,16 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Acquires and renews the lease of one duty in the platform's store. Its store calls block the [executor], which must
  * have one thread.
  *
  * @param duty key of the duty's records in the store; each era of the store has a record of its own.
+ * @param candidateRank position of this VM among those of its region that compete for the duty; from
+ * [ObservationSchedule.CANDIDATES] on, it reads the record seldom while another VM holds the duty.
+ * @param onChange called on the executor's thread after this VM acquired or lost the duty.
  */
 public class DutyLeaseRenewer(
     private val duty: String,
@@ -32,8 +37,11 @@
     private val executor: ScheduledExecutorService,
     private val clock: Clock,
     private val events: EventLog,
+    private val candidateRank: () -> Int = { 0 },
+    private val onChange: () -> Unit = {},
 ) {
     private val lease = DutyLease(self, LEASE_DURATION)
+    private val schedule = ObservationSchedule(RENEWAL_INTERVAL, LEASE_DURATION, RESERVE_INTERVAL)
     private var version = ObjectVersion.ABSENT
     private var wasHeld = false
     private var isReleased = false
@@ -46,8 +54,17 @@
 
     /** Starts the periodic renewal or acquisition of the lease. */
     public fun start() {
-        val interval = RENEWAL_INTERVAL.inWholeMilliseconds
-        executor.scheduleWithFixedDelay(::renewSafely, 0, interval, TimeUnit.MILLISECONDS)
+        scheduleStep(Duration.ZERO)
+    }
+
+    private fun scheduleStep(delay: Duration) {
+        executor.schedule(::step, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun step() {
+        events.runStep("renew $duty", ::renewOrObserve)
+        val isActive = lease.renewedRecord() != null
+        scheduleStep(schedule.delayAfter(candidateRank(), isActive, lease.latestRecord, clock.elapsed()))
     }
 
     /**
@@ -69,10 +86,6 @@
 
     private val key: String get() = if (lease.era == StoreEra.UNKNOWN) duty else "$duty-${lease.era}"
 
-    private fun renewSafely() {
-        events.runStep("renew $duty", ::renewOrObserve)
-    }
-
     private fun renewOrObserve() {
         if (isReleased) return
         enterCurrentEra()
@@ -140,6 +153,7 @@
             "token" to value,
             "era" to lease.era.value,
         )
+        onChange()
     }
 
     private fun decode(stored: StoredObject): DutyRecord? = try {
@@ -157,5 +171,8 @@
 
         /** Three renewals fit into [LEASE_DURATION]. */
         val RENEWAL_INTERVAL = 900.milliseconds
+
+        /** Each read has a price, and a failover may wait this long in the rare case that all candidates are lost. */
+        val RESERVE_INTERVAL = 5.seconds
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
@@ -30,12 +30,19 @@
     private var lastUsedToken = 0L
     private var leaseHeldSince: Duration? = null
 
-    /** Starts the periodic check of all groups. */
+    private val timer = RestingTimer(environment, CHECK_INTERVAL) { now ->
+        checkGroups()
+        if (node.decidesFailovers) now else Duration.INFINITE
+    }
+
+    /** Starts the periodic check of all groups, which rests while this VM does not hold the lease. */
     public fun start() {
-        environment.schedule(CHECK_INTERVAL) {
-            start()
-            checkGroups()
-        }
+        timer.start()
+    }
+
+    /** Checks on the next tick whether this VM holds the lease; may be called on any thread. */
+    public fun dutyChanged() {
+        environment.schedule(Duration.ZERO) { timer.wake() }
     }
 
     private fun checkGroups() {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
@@ -1,7 +1,7 @@
 package dev.kumquatknot.proxy.interactive
 
-import dev.kumquatknot.core.databasegroup.FailoverReason
 import dev.kumquatknot.core.configuration.Rank
+import dev.kumquatknot.core.databasegroup.FailoverReason
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.ReadConsistency
 import dev.kumquatknot.core.interactive.RejectionCode
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewerSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutyLeaseRenewerSpec.kt
@@ -39,7 +39,7 @@
     private fun acquire() {
         renewer.start()
         repeat(5) {
-            executor.periodic.run()
+            executor.delayed.run()
             loop.advance(1.seconds)
         }
     }
@@ -54,10 +54,10 @@
     fun `goes on renewing after an unexpected error, which ended the periodic task for good`() {
         acquire()
         store.isBroken = true
-        executor.periodic.run()
+        executor.delayed.run()
         store.isBroken = false
         loop.advance(1.seconds)
-        executor.periodic.run()
+        executor.delayed.run()
         expectThat(renewer.heldToken).isNotNull()
     }
 
@@ -68,7 +68,7 @@
         val writes = store.writes
         repeat(5) {
             loop.advance(1.seconds)
-            executor.periodic.run()
+            executor.delayed.run()
         }
         expectThat(renewer.heldToken).isNull()
         expectThat(store.writes).isEqualTo(writes)
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutySimulation.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutySimulation.kt
@@ -25,7 +25,7 @@
  */
 internal class DutySimulation(private val random: Random) {
     private val store = RestorableStore(random)
-    private val vms = List(VMS) { SimulatedVm("vm-$it") }
+    private val vms = List(VMS) { SimulatedVm(it) }
     private var now = 0.milliseconds
     private var lastActing: Pair<String, Long>? = null
 
@@ -67,11 +67,13 @@
         return if (token <= last.second) "at $now $name acts with $token after $last" else null
     }
 
-    private inner class SimulatedVm(val name: String) : ConditionalStore, Clock {
+    private inner class SimulatedVm(private val number: Int) : ConditionalStore, Clock {
+        val name = "vm-$number"
         private val executor = ManualExecutor()
         private var isStepping = false
         private var latestEra = StoreEra.UNKNOWN
-        val renewer = DutyLeaseRenewer("duties/failover", name, this, executor, this, EventLog()).also { it.start() }
+        val renewer = DutyLeaseRenewer("duties/failover", name, this, executor, this, EventLog(), { number })
+            .also { it.start() }
 
         override val era: StoreEra get() = latestEra
 
@@ -82,7 +84,7 @@
         fun step() {
             if (isStepping) return
             isStepping = true
-            executor.periodic.run()
+            executor.delayed.run()
             isStepping = false
         }
 
@@ -174,9 +176,8 @@
     }
 }
 
-/** Runs tasks at once on the calling thread; periodic and delayed tasks run when a test calls them. */
+/** Runs tasks at once on the calling thread; a delayed task runs when a test calls it. */
 internal class ManualExecutor : ScheduledExecutorService by Executors.newSingleThreadScheduledExecutor() {
-    lateinit var periodic: Runnable
     lateinit var delayed: Runnable
 
     override fun execute(command: Runnable) = command.run()
@@ -186,17 +187,7 @@
         return IdleFuture
     }
 
-    override fun scheduleWithFixedDelay(
-        command: Runnable,
-        initialDelay: Long,
-        delay: Long,
-        unit: TimeUnit,
-    ): ScheduledFuture<*> {
-        periodic = command
-        return IdleFuture
-    }
-
-    private object IdleFuture : ScheduledFuture<Unit> {
+    object IdleFuture : ScheduledFuture<Unit> {
         override fun compareTo(other: java.util.concurrent.Delayed): Int = 0
 
         override fun getDelay(unit: TimeUnit): Long = 0
