--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FeedPayloads.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FeedPayloads.kt
@@ -17,8 +17,10 @@
 /**
  * State of the objects of [kind].
  *
+ * @property changedAt revision of the last change of the objects, up to [revision].
  * @property ageMillis time since the store's last answer to the sender.
- * @property isUnchanged whether nothing changed since the last update on this link; [objects] is empty then.
+ * @property isUnchanged whether the receiver has the objects already, unless it knows no revision from [changedAt] on;
+ * [objects] is empty then.
  */
 @Serializable
 internal data class FeedUpdatePayload(
@@ -28,6 +30,7 @@
     @ProtoNumber(4) val ageMillis: Long = 0,
     @ProtoNumber(5) val isUnchanged: Boolean = false,
     @ProtoNumber(6) val objects: List<FeedObjectPayload> = emptyList(),
+    @ProtoNumber(7) val changedAt: Long = 0,
 )
 
 /** One object of the store. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
@@ -12,8 +12,24 @@
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.event.EventLog
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 import kotlin.time.Duration
 
+/**
+ * An answer of the store to a watcher.
+ *
+ * @property objects all objects; null if they are the same as in the previous answer.
+ * @property revision revision of [era] up to which the answer covers all changes.
+ * @property at time of the answer on the watcher's clock.
+ */
+public data class WatchAnswer(
+    val objects: List<StoredObject>?,
+    val revision: Long,
+    val era: StoreEra,
+    val at: Duration,
+)
+
 /**
  * Watches the objects of one [kind] in the platform's store on a thread of its own.
  *
@@ -22,7 +38,8 @@
  * @param clock for the ages and durations in log lines.
  * @param changeInterval minimum time between two calls that return changes. Objects of many writers change all the
  * time; without it, the calls of all VMs together would grow with the product of VMs and writers.
- * @param onObjects called on the watcher's thread with all objects and the era of the store, after each change.
+ * @param maximumWait bounds the wait for changes and [changeInterval], and with them the age of the last answer.
+ * @param onAnswer called on the watcher's thread after each answer of the store.
  */
 public class ObjectWatcher(
     private val kind: String,
@@ -32,8 +49,13 @@
     private val pacing: WatchPacing,
     private val changeInterval: Duration = Duration.ZERO,
     private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) },
-    private val onObjects: (Collection<StoredObject>, StoreEra) -> Unit,
+    private val maximumWait: () -> Duration = { Duration.INFINITE },
+    private val onAnswer: (WatchAnswer) -> Unit,
 ) {
+    private val lock = ReentrantLock()
+    private val resumed = lock.newCondition()
+    private var isPaused = false
+
     private val objects = LinkedHashMap<String, StoredObject>()
     private var failures = 0
     private var hasRead = false
@@ -44,9 +66,25 @@
         Thread(::watch, "feed-$kind").apply { isDaemon = true }.start()
     }
 
+    /** Pauses the watch; a call that is waiting for changes ends first. May be called on any thread. */
+    public fun pause() {
+        lock.withLock { isPaused = true }
+    }
+
+    /** Resumes the watch, which begins by reading all objects. May be called on any thread. */
+    public fun resume(): Unit = lock.withLock {
+        isPaused = false
+        resumed.signalAll()
+    }
+
+    private fun awaitResumption() = lock.withLock { while (isPaused) resumed.await() }
+
+    private fun shallPause() = lock.withLock { isPaused }
+
     private fun watch() {
         try {
             while (true) {
+                awaitResumption()
                 val isIntact = events.runStep("feed $kind") { readSnapshot()?.let { watchFrom(it.revision, it.era) } }
                 if (!isIntact) pause(pacing.delayAfter(++failures))
             }
@@ -59,28 +97,35 @@
         objects.clear()
         snapshot.objects.associateByTo(objects) { it.key }
         hasRead = true
-        onObjects(objects.values.toList(), snapshot.era)
+        report(objects.values.toList(), snapshot.revision, snapshot.era)
     }
 
-    /** Watches until a call fails, the store no longer has the history since [first], or it has left [era]. */
+    private fun report(changed: List<StoredObject>?, revision: Long, era: StoreEra) =
+        onAnswer(WatchAnswer(changed, revision, era, answeredAt ?: clock.elapsed()))
+
+    /** Watches until it is paused, a call fails, the store no longer has the history since [first], or it has left [era]. */
     private fun watchFrom(first: Long, era: StoreEra) {
         var revision = first
-        while (true) {
-            when (val answer = valueOrPause { feed.changes(kind, revision, pacing.wait) }) {
+        while (!shallPause()) {
+            when (val answer = valueOrPause { feed.changes(kind, revision, minOf(pacing.wait, maximumWait())) }) {
                 null, is WatchResult.RevisionCompacted -> return
                 is WatchResult.Changed -> {
                     if (answer.era != era) return
                     revision = answer.revision
-                    if (answer.changes.isNotEmpty()) apply(answer.changes, era)
+                    if (answer.changes.isEmpty()) {
+                        report(null, revision, era)
+                    } else {
+                        apply(answer.changes, revision, era)
+                    }
                 }
             }
         }
     }
 
-    private fun apply(changes: List<ObjectChange>, era: StoreEra) {
+    private fun apply(changes: List<ObjectChange>, revision: Long, era: StoreEra) {
         changes.forEach(::apply)
-        onObjects(objects.values.toList(), era)
-        if (changeInterval.isPositive()) pause(changeInterval)
+        report(objects.values.toList(), revision, era)
+        if (changeInterval.isPositive()) pause(minOf(changeInterval, maximumWait()))
     }
 
     private fun apply(change: ObjectChange) {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
@@ -20,6 +20,8 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.last
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -62,9 +64,9 @@
         interval: Duration = Duration.ZERO,
     ) {
         val script = Script(ArrayDeque(snapshots), ArrayDeque(answers))
-        ObjectWatcher("kind", script, EventLog(), SystemClock, pacing, interval, pauses::add) { objects, era ->
+        ObjectWatcher("kind", script, EventLog(), SystemClock, pacing, interval, pauses::add) { answer ->
             if (consumerErrors-- > 0) error("an unexpected object")
-            seen += objects.map { it.key.substringAfter('/') } to era
+            answer.objects?.let { objects -> seen += objects.map { it.key.substringAfter('/') } to answer.era }
         }.start()
         check(done.await(10, TimeUnit.SECONDS)) { "the watcher has not played the script" }
     }
@@ -119,6 +121,31 @@
         expectThat(pauses).containsExactly(700.milliseconds, 700.milliseconds)
     }
 
+    @Test
+    fun `makes no calls while it is paused and reads all objects when it is resumed`() {
+        val calls = LinkedBlockingQueue<String>()
+        val gate = Semaphore(0)
+        val objects = object : WatchableObjects {
+            override fun snapshot(kind: String) = snapshot(1, 100, "a").also { calls += "snapshot" }
+
+            override fun changes(kind: String, revision: Long, timeout: Duration): Either<StoreFailure, WatchResult> {
+                calls += "changes"
+                gate.acquire()
+                return changed(1, 100)
+            }
+        }
+        val answers = LinkedBlockingQueue<WatchAnswer>()
+        val watcher = ObjectWatcher("kind", objects, EventLog(), SystemClock, pacing, onAnswer = answers::add)
+        watcher.start()
+        expectThat(List(2) { calls.poll(10, TimeUnit.SECONDS) }).containsExactly("snapshot", "changes")
+        watcher.pause()
+        gate.release()
+        expectThat(List(2) { answers.poll(10, TimeUnit.SECONDS)?.objects?.size }).containsExactly(1, null)
+        expectThat(calls.poll(200, TimeUnit.MILLISECONDS)).isEqualTo(null)
+        watcher.resume()
+        expectThat(List(2) { calls.poll(10, TimeUnit.SECONDS) }).containsExactly("snapshot", "changes")
+    }
+
     @Test
     fun `tries again soon while it has read nothing, as the process can serve nothing then`() {
         val failure = StoreFailure.Refused("no connection").left()
