--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
@@ -24,7 +24,7 @@
     private val group: GroupPools,
     private val environment: NodeEnvironment,
 ) {
-    private val tried = LinkedHashSet<MemberName>()
+    private var tried = emptySet<MemberName>()
     private val outageWait = FailoverWaitPolicy()
 
     /** Details of the routing decisions so far. */
@@ -39,6 +39,7 @@
 
     /** Finds the next member for [call]. */
     fun next(call: StatementCall, done: (SearchResult) -> Unit) {
+        group.recordUse()
         val needed = if (replicaAllowed) group.requiredPoint(call.route, call.lastWritten) else null
         val pool = needed?.let { group.poolForRead(it, tried) } ?: group.availablePrimary()
         when {
