--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/interactive/ReadPlacementSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/interactive/ReadPlacementSpec.kt
@@ -1,5 +1,7 @@
 package dev.kumquatknot.core.interactive
 
+import dev.kumquatknot.core.balancing.LoadEstimate
+import dev.kumquatknot.core.balancing.MemberChoice
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.history.LogPosition
 import dev.kumquatknot.core.history.Term
@@ -8,7 +10,10 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
 import strikt.assertions.isNull
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -68,4 +73,70 @@
             expectThat(chosen(candidate("replica", at = 9))).isNull()
         }
     }
+
+    @Nested
+    inner class `a read placed by load` {
+        private val random = Random(3)
+        private val balanced = ReadPlacement(choice = MemberChoice(random::nextDouble))
+
+        private fun loaded(
+            name: String,
+            occupied: Double,
+            remote: Boolean = false,
+            primary: Boolean = false,
+            wait: Duration = Duration.ZERO,
+        ) = candidate(name, wait = wait, remote = remote, primary = primary)
+            .copy(load = LoadEstimate(4, 20.milliseconds, occupied, 50.milliseconds))
+
+        private fun shares(vararg candidates: ReadCandidate): Map<String, Double> =
+            List(DRAWS) { balanced.choose(candidates.toList(), required)!!.name.value }
+                .groupingBy { it }.eachCount().mapValues { it.value.toDouble() / DRAWS }
+
+        @Test
+        fun `is shared by members of comparable cost`() {
+            expectThat(shares(loaded("one", 1.0), loaded("two", 1.0))["one"] ?: 0.0).isIn(0.4..0.6)
+        }
+
+        @Test
+        fun `prefers the member that is less busy`() {
+            expectThat(shares(loaded("one", 9.0), loaded("two", 1.0))["two"] ?: 0.0).isGreaterThan(0.9)
+        }
+
+        @Test
+        fun `stays in its region and off the primary while the wait there is short`() {
+            val near =
+                shares(loaded("near", 8.0), loaded("far", 0.0, remote = true), loaded("main", 0.0, primary = true))
+            expectThat(near).isEqualTo(mapOf("near" to 1.0))
+        }
+
+        @Test
+        fun `leaves its region where the wait there is long`() {
+            expectThat(shares(loaded("near", 30.0), loaded("far", 0.0, remote = true))["far"] ?: 0.0).isGreaterThan(0.5)
+        }
+
+        @Test
+        fun `avoids a member for which statements wait on this VM`() {
+            val shares = shares(loaded("one", 0.0, wait = 80.milliseconds), loaded("two", 0.0))
+            expectThat(shares["two"] ?: 0.0).isGreaterThan(0.9)
+        }
+
+        @Test
+        fun `goes by cost alone if the load of a member is unknown`() {
+            val unknown = candidate("one", wait = 5.milliseconds)
+            expectThat(shares(unknown, loaded("two", 9.0))).isEqualTo(mapOf("two" to 1.0))
+        }
+    }
+
+    @Test
+    fun `estimates of load change nothing where placement by load is off`() {
+        val estimate = LoadEstimate(4, 20.milliseconds, 30.0, 50.milliseconds)
+        expectThat(
+            chosen(candidate("near").copy(load = estimate), candidate("far", remote = true).copy(load = estimate)),
+        )
+            .isEqualTo("near")
+    }
+
+    private companion object {
+        const val DRAWS = 1_000
+    }
 }
