--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/balancing/MemberLoad.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/balancing/MemberLoad.kt
@@ -40,8 +40,10 @@
  * that this VM has sent since the observation are added.
  *
  * Not thread-safe.
+ *
+ * @property slots statements that the member runs at a time.
  */
-public class MemberLoad(private val slots: Int) {
+public class MemberLoad(public val slots: Int) {
     private val serviceTime = DurationAverage(SERVICE_WEIGHT, INITIAL_SERVICE_TIME)
     private val shortest = ShortestDuration()
     private val sent = ArrayDeque<Duration>()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -1,10 +1,13 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.balancing.MemberChoice
+import dev.kumquatknot.core.balancing.MemberLoad
 import dev.kumquatknot.core.databasegroup.FreshnessProofs
 import dev.kumquatknot.core.databasegroup.PrimaryTracker
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.MemberCommand
@@ -17,20 +20,29 @@
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.proxy.event.Event
+import dev.kumquatknot.proxy.fleet.LoadReportPayload
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Connection pools for the members of one group, with the believed primary and the proofs of replica freshness. */
+/**
+ * Connection pools for the members of one group, with the believed primary and the proofs of replica freshness.
+ *
+ * @param isBalanced whether reads are placed by estimates of the members' load.
+ */
 internal class GroupPools(
     val group: DatabaseName,
     private val environment: NodeEnvironment,
     private val isRemote: (DiscoveredMember) -> Boolean,
     private val connections: () -> ConnectionBudget,
     private val onPrimaryUnknown: (GroupPools) -> Unit,
+    private val isBalanced: () -> Boolean = { false },
 ) {
     private val pools = LinkedHashMap<MemberName, MemberPool>()
     private val placement = ReadPlacement()
+    private val placementByLoad = ReadPlacement(choice = MemberChoice())
+    private val loads = HashMap<MemberName, MemberLoad>()
     private val history = MemberHistory()
     private var replicasLaggedAt = -Duration.INFINITE
 
@@ -57,6 +69,7 @@
                 known.updateMember(member)
             } else {
                 known?.close()
+                loads.remove(member.name)
                 pools[member.name] = MemberPool(member, environment, connections, ::recordReply).also { it.maintain() }
                 logMember(Event.MEMBER_DISCOVERED, member)
             }
@@ -75,6 +88,7 @@
         }
         gone.forEach { pool ->
             pools.remove(pool.member.name)
+            loads.remove(pool.member.name)
             belief.disprove(pool.member.name, now)
             logMember(Event.MEMBER_GONE, pool.member)
             pool.close()
@@ -128,7 +142,9 @@
         val candidates = pools.values
             .filter { it.leavingSince == null && it.health.isUsable && it !== lost && it.member.name !in tried }
             .map { candidate(it, now) }
-        val chosen = placement.choose(candidates, required)?.let { pools[it.name] }
+        val chosen = (if (isBalanced()) placementByLoad else placement).choose(candidates, required)
+            ?.let { pools[it.name] }
+        chosen?.let { loadOf(it).recordSent(now) }
         if (chosen == null || leads(chosen)) replicasLaggedAt = now
         return chosen
     }
@@ -148,9 +164,31 @@
         expectedWait = pool.expectedWait(),
         distance = pool.distance,
         remote = isRemote(pool.member),
+        load = loadOf(pool).estimate(now),
     )
 
+    private fun loadOf(pool: MemberPool): MemberLoad {
+        val slots = pool.member.slots
+        return loads[pool.member.name]?.takeIf { it.slots == slots }
+            ?: MemberLoad(slots).also { loads[pool.member.name] = it }
+    }
+
+    /** Records what [vm] has told of the load of members of this group. */
+    fun recordLoadReport(vm: VmName, report: LoadReportPayload) = report.members.forEach { reported ->
+        val pool = pools[MemberName(reported.member)] ?: return@forEach
+        val service = reported.serviceMicros.microseconds
+        loadOf(pool).recordReport(vm, reported.busy, reported.queued, service, environment.now())
+    }
+
+    /** Only statements that ran have waited for a slot; a member that is busy refuses one at once. */
+    private fun recordLoad(pool: MemberPool, command: MemberCommand, sentAt: Duration, reply: MemberReply) {
+        if (command !is MemberCommand.Run && command !is MemberCommand.Execute) return
+        if (reply.isCompleted) loadOf(pool).recordAnswer(sentAt, environment.now())
+        if (reply.rejection == RejectionCode.BUSY) loadOf(pool).recordRefusal(sentAt, environment.now())
+    }
+
     private fun recordReply(pool: MemberPool, command: MemberCommand, sentAt: Duration, reply: MemberReply) {
+        recordLoad(pool, command, sentAt, reply)
         val name = pool.member.name
         val point = reply.point
         reply.report?.let { report ->
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -1,17 +1,29 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.customer.CallerKey
+import dev.kumquatknot.core.fleet.FleetView
+import dev.kumquatknot.core.fleet.FleetVm
+import dev.kumquatknot.core.fleet.HomeVms
+import dev.kumquatknot.core.fleet.OperationPlacement
+import dev.kumquatknot.core.fleet.PlacedOperation
+import dev.kumquatknot.core.fleet.Placement
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.Region
+import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.InteractiveConfiguration
+import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.MemberHistory
+import dev.kumquatknot.core.interactive.ReadConsistency
 import dev.kumquatknot.core.interactive.RejectionCode
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.event.EventLog
+import dev.kumquatknot.proxy.fleet.FleetLinks
+import dev.kumquatknot.proxy.fleet.LoadReportPayload
+import dev.kumquatknot.proxy.fleet.PeerNetwork
 import kotlin.time.Duration
 
 /**
@@ -47,27 +59,35 @@
  * Serves interactive sessions: holds the configuration in force, the discovered members and the open sessions.
  *
  * All calls and scheduled tasks run on one event loop and must not block.
+ *
+ * @param fleet the VMs of the deployment as this one knows them; by default, this VM exchanges nothing with others.
  */
 public class InteractiveNode(
     private val place: VmPlace,
     ports: InteractivePorts,
     limits: InteractiveLimits = InteractiveLimits(),
+    private val fleet: FleetView = FleetView(),
 ) {
     private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
     private val groups = LinkedHashMap<DatabaseName, GroupPools>()
     private val poller = GroupPoller(environment)
     private val sessions = LinkedHashSet<InteractiveSession>()
     private val waitingOpenings = LinkedHashSet<WaitingOpening>()
-    private val services = SessionServices(
-        environment = environment,
-        route = { configuration.routes[it] },
-        admission = { route, key -> CallerAdmission.of(configuration.customers, route, key) },
-        executor = LocalExecutor(::group, environment, OperationLimiter.UNLIMITED),
-        transactionIdle = { configuration.transactionIdle },
-        onAnswer = StatementRecorder(environment, ports.metrics)::record,
-        onReply = { if (closing && it.isIdle) it.close() },
-        onEnd = { sessions.remove(it) },
-    )
+    private val homes = HomeVms(fleet, place.regions::get)
+    private val placement = OperationPlacement(homes, place.dataCentre)
+    private val services by lazy {
+        SessionServices(
+            environment = environment,
+            route = { configuration.routes[it] },
+            admission = { route, key -> CallerAdmission.of(configuration.customers, route, key) },
+            executor = executor,
+            transactionIdle = { configuration.transactionIdle },
+            onAnswer = StatementRecorder(environment, ports.metrics)::record,
+            onReply = { if (closing && it.isIdle) it.close() },
+            onEnd = { sessions.remove(it) },
+        )
+    }
+    private var links: FleetLinks? = null
     private var members: List<DiscoveredMember>? = null
     private var membersEra = StoreEra.UNKNOWN
     private var closing = false
@@ -90,12 +110,53 @@
 
     internal val nodeEnvironment: NodeEnvironment get() = environment
 
+    /** Runs the operations of sessions, on this VM unless another one is set before the first session is opened. */
+    internal var executor: OperationExecutor = LocalExecutor(::group, environment, OperationLimiter.UNLIMITED)
+
     /** Whether this VM decides failovers; it then polls members more often and for more data. */
     public var decidesFailovers: Boolean = false
 
     /** Number of VMs that use the members, this one included; 0 while it is unknown. */
     public var fleetSize: Int = 0
 
+    /** Applies the registered VMs that the store has [listed]. */
+    public fun updateFleet(listed: List<FleetVm>) {
+        fleet.update(listed)
+        fleetSize = listed.size
+    }
+
+    /**
+     * Observes the links of [network] to other VMs from now on; [onUnknownRun] is called when a VM connects that is not
+     * in the last list.
+     */
+    internal fun connectPeers(network: PeerNetwork, onUnknownRun: () -> Unit) {
+        links = FleetLinks(fleet, network, environment.clock, ::recordLoadReport, onUnknownRun)
+            .also(network::addListener)
+    }
+
+    private fun recordLoadReport(vm: VmName, report: LoadReportPayload) =
+        groups.values.forEach { it.recordLoadReport(vm, report) }
+
+    /**
+     * Whether operations on [group] of the region of [dataCentre] are forwarded to this VM; no VM is home VM where the
+     * configuration has no customers.
+     */
+    public fun isHomeVm(group: DatabaseName, dataCentre: DataCentre): Boolean =
+        !configuration.customers.isEmpty && homes.isHome(group.value, dataCentre, environment.now())
+
+    /**
+     * Returns where an operation on [route] runs now, and why; [isRead] is whether it is a read or a read-only
+     * transaction.
+     */
+    public fun placeOperation(route: InteractiveRoute, isRead: Boolean): Placement {
+        val operation = PlacedOperation(
+            group = route.group,
+            mayUseReplica = isRead && route.consistency != ReadConsistency.CURRENT,
+            primaryDataCentre = groups[route.group]?.primaryPool?.member?.dataCentre,
+        )
+        return placement.place(operation, !configuration.customers.isEmpty, environment.now())
+    }
+
     /** Starts the periodic maintenance of pools and polling of members. */
     public fun start() {
         repeatEvery(environment.limits.maintenanceInterval) { groups.values.forEach { it.maintain() } }
@@ -133,8 +194,8 @@
     }
 
     /**
-     * Opens a session on [database] for the caller with [key] at [peer]; [done] is called once. A node that has just started
-     * waits for its first configuration, since the databases are unknown until then.
+     * Opens a session on [database] for the caller with [key] at [peer]; [done] is called once. A node that has just
+     * started waits for its first configuration, since the databases are unknown until then.
      */
     public fun open(database: String, key: CallerKey?, peer: SessionPeer, done: (SessionOpening) -> Unit) {
         if (isInitialized) return done(openNow(database, key, peer))
@@ -150,6 +211,7 @@
     /** Makes this VM report not ready; open sessions continue. */
     public fun leave() {
         leaving = true
+        links?.announceLeaving() ?: fleet.leave()
     }
 
     /** Closes idle sessions now and the others as soon as they are idle. */
@@ -190,10 +252,18 @@
         group = name,
         environment = environment,
         isRemote = ::isRemote,
-        connections = { ConnectionBudget(configuration.connections[name] ?: 0, fleetSize) },
+        connections = { connectionBudget(name) },
         onPrimaryUnknown = { poller.poll(it, decidesFailovers) },
+        isBalanced = { isBalanced(connectionBudget(name)) },
     )
 
+    private fun connectionBudget(group: DatabaseName) =
+        ConnectionBudget(configuration.connections[group] ?: 0, fleetSize)
+
+    /** With few VMs, each knows most of a member's load from its own queue; without a connection, it learns nothing. */
+    private fun isBalanced(budget: ConnectionBudget): Boolean =
+        !configuration.customers.isEmpty || fleetSize >= BALANCED_FLEET_SIZE && !budget.isShort
+
     private fun distributeMembers() {
         val known = members ?: return
         val byGroup = known.groupBy { it.group }
@@ -211,4 +281,9 @@
     }
 
     private class WaitingOpening(val open: () -> Unit)
+
+    private companion object {
+        /** VMs from which on reads are placed by estimates of load even without customers. */
+        const val BALANCED_FLEET_SIZE = 16
+    }
 }
