--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -1,17 +1,29 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.customer.CallerKey
+import dev.kumquatknot.core.fleet.FleetView
+import dev.kumquatknot.core.fleet.FleetVm
+import dev.kumquatknot.core.fleet.HomeVms
+import dev.kumquatknot.core.fleet.OperationPlacement
+import dev.kumquatknot.core.fleet.PlacedOperation
+import dev.kumquatknot.core.fleet.Placement
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.Region
+import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.InteractiveConfiguration
+import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.MemberHistory
+import dev.kumquatknot.core.interactive.ReadConsistency
 import dev.kumquatknot.core.interactive.RejectionCode
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.event.EventLog
+import dev.kumquatknot.proxy.fleet.FleetLinks
+import dev.kumquatknot.proxy.fleet.LoadReportPayload
+import dev.kumquatknot.proxy.fleet.PeerNetwork
 import kotlin.time.Duration
 
 /**
@@ -48,31 +60,36 @@
  *
  * All calls and scheduled tasks run on one event loop and must not block.
  *
- * @param isHome whether this VM is a home VM of a group, which polls the group's members also while it does not use them.
+ * @param fleet the VMs of the deployment as this one knows them; by default, this VM exchanges nothing with others.
  */
 public class InteractiveNode(
     private val place: VmPlace,
     ports: InteractivePorts,
     limits: InteractiveLimits = InteractiveLimits(),
-    isHome: (DatabaseName) -> Boolean = { true },
+    private val fleet: FleetView = FleetView(),
 ) {
     private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
     private val groups = LinkedHashMap<DatabaseName, GroupPools>()
-    private val poller = GroupPoller(environment, isHome, onFailure = { pollTimer.wake() })
+    private val poller = GroupPoller(environment, ::isHomeOfAnyRegion, onFailure = { pollTimer.wake() })
     private val maintenanceTimer = RestingTimer(environment, limits.maintenanceInterval) { maintain() }
     private val pollTimer: RestingTimer = RestingTimer(environment, limits.pollInterval) { pollMembers() }
     private val sessions = LinkedHashSet<InteractiveSession>()
     private val waitingOpenings = LinkedHashSet<WaitingOpening>()
-    private val services = SessionServices(
-        environment = environment,
-        route = { configuration.routes[it] },
-        admission = { route, key -> CallerAdmission.of(configuration.customers, route, key) },
-        executor = LocalExecutor(::group, environment, OperationLimiter.UNLIMITED),
-        transactionIdle = { configuration.transactionIdle },
-        onAnswer = StatementRecorder(environment, ports.metrics)::record,
-        onReply = { if (closing && it.isIdle) it.close() },
-        onEnd = { sessions.remove(it) },
-    )
+    private val homes = HomeVms(fleet, place.regions::get)
+    private val placement = OperationPlacement(homes, place.dataCentre)
+    private val services by lazy {
+        SessionServices(
+            environment = environment,
+            route = { configuration.routes[it] },
+            admission = { route, key -> CallerAdmission.of(configuration.customers, route, key) },
+            executor = executor,
+            transactionIdle = { configuration.transactionIdle },
+            onAnswer = StatementRecorder(environment, ports.metrics)::record,
+            onReply = { if (closing && it.isIdle) it.close() },
+            onEnd = { sessions.remove(it) },
+        )
+    }
+    private var links: FleetLinks? = null
     private var members: List<DiscoveredMember>? = null
     private var membersEra = StoreEra.UNKNOWN
     private var closing = false
@@ -95,6 +112,9 @@
 
     internal val nodeEnvironment: NodeEnvironment get() = environment
 
+    /** Runs the operations of sessions, on this VM unless another one is set before the first session is opened. */
+    internal var executor: OperationExecutor = LocalExecutor(::group, environment, OperationLimiter.UNLIMITED)
+
     /** Whether this VM decides failovers; it then polls members more often and for more data. */
     public var decidesFailovers: Boolean = false
         set(value) {
@@ -110,6 +130,48 @@
             wakeTimers()
         }
 
+    /** Applies the registered VMs that the store has [listed]. */
+    public fun updateFleet(listed: List<FleetVm>) {
+        fleet.update(listed)
+        fleetSize = listed.size
+    }
+
+    /**
+     * Observes the links of [network] to other VMs from now on; [onUnknownRun] is called when a VM connects that is not
+     * in the last list.
+     */
+    internal fun connectPeers(network: PeerNetwork, onUnknownRun: () -> Unit) {
+        links = FleetLinks(fleet, network, environment.clock, ::recordLoadReport, onUnknownRun)
+            .also(network::addListener)
+    }
+
+    private fun recordLoadReport(vm: VmName, report: LoadReportPayload) =
+        groups.values.forEach { it.recordLoadReport(vm, report) }
+
+    /**
+     * Whether operations on [group] of the region of [dataCentre] are forwarded to this VM; no VM is home VM where the
+     * configuration has no customers.
+     */
+    public fun isHomeVm(group: DatabaseName, dataCentre: DataCentre): Boolean =
+        !configuration.customers.isEmpty && homes.isHome(group.value, dataCentre, environment.now())
+
+    /** Whether this VM polls the members of [group] also while it does not use them. */
+    private fun isHomeOfAnyRegion(group: DatabaseName): Boolean =
+        configuration.customers.isEmpty || place.regions.keys.any { homes.isHome(group.value, it, environment.now()) }
+
+    /**
+     * Returns where an operation on [route] runs now, and why; [isRead] is whether it is a read or a read-only
+     * transaction.
+     */
+    public fun placeOperation(route: InteractiveRoute, isRead: Boolean): Placement {
+        val operation = PlacedOperation(
+            group = route.group,
+            mayUseReplica = isRead && route.consistency != ReadConsistency.CURRENT,
+            primaryDataCentre = groups[route.group]?.primaryPool?.member?.dataCentre,
+        )
+        return placement.place(operation, !configuration.customers.isEmpty, environment.now())
+    }
+
     /** Starts the maintenance of pools and the polling of members. */
     public fun start() {
         maintenanceTimer.start()
@@ -148,8 +210,8 @@
     }
 
     /**
-     * Opens a session on [database] for the caller with [key] at [peer]; [done] is called once. A node that has just started
-     * waits for its first configuration, since the databases are unknown until then.
+     * Opens a session on [database] for the caller with [key] at [peer]; [done] is called once. A node that has just
+     * started waits for its first configuration, since the databases are unknown until then.
      */
     public fun open(database: String, key: CallerKey?, peer: SessionPeer, done: (SessionOpening) -> Unit) {
         if (isInitialized) return done(openNow(database, key, peer))
@@ -165,6 +227,7 @@
     /** Makes this VM report not ready; open sessions continue. */
     public fun leave() {
         leaving = true
+        links?.announceLeaving() ?: fleet.leave()
     }
 
     /** Closes idle sessions now and the others as soon as they are idle. */
@@ -205,7 +268,7 @@
         group = name,
         environment = environment,
         isRemote = ::isRemote,
-        connections = { ConnectionBudget(configuration.connections[name] ?: 0, fleetSize) },
+        connections = { connectionBudget(name) },
         listener = object : GroupListener {
             override fun changed() = wakeTimers()
 
@@ -214,6 +277,7 @@
                 pollTimer.wake()
             }
         },
+        isBalanced = { isBalanced(connectionBudget(name)) },
     )
 
     private fun wakeTimers() {
@@ -235,6 +299,13 @@
         return due
     }
 
+    private fun connectionBudget(group: DatabaseName) =
+        ConnectionBudget(configuration.connections[group] ?: 0, fleetSize)
+
+    /** With few VMs, each knows most of a member's load from its own queue; without a connection, it learns nothing. */
+    private fun isBalanced(budget: ConnectionBudget): Boolean =
+        !configuration.customers.isEmpty || fleetSize >= BALANCED_FLEET_SIZE && !budget.isShort
+
     private fun distributeMembers() {
         val known = members ?: return
         val byGroup = known.groupBy { it.group }
@@ -245,4 +316,9 @@
         place.regions[member.dataCentre] != place.regions[place.dataCentre]
 
     private class WaitingOpening(val open: () -> Unit)
+
+    private companion object {
+        /** VMs from which on reads are placed by estimates of load even without customers. */
+        const val BALANCED_FLEET_SIZE = 16
+    }
 }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/RestingNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/RestingNodeSpec.kt
@@ -1,9 +1,15 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.configuration.Rank
+import dev.kumquatknot.core.customer.Customer
+import dev.kumquatknot.core.customer.CustomerDirectory
+import dev.kumquatknot.core.customer.CustomerName
+import dev.kumquatknot.core.fleet.FleetView
+import dev.kumquatknot.core.fleet.FleetVm
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.Region
 import dev.kumquatknot.core.identity.RequestId
+import dev.kumquatknot.core.identity.VmName
 import dev.kumquatknot.core.interactive.InteractiveConfiguration
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.MemberCommand
@@ -30,7 +36,9 @@
 class RestingNodeSpec {
     private val loop = VirtualLoop()
     private val group = FakeGroup(loop).apply { appliesAtOnce = true }
-    private var isHome = false
+    private val self = FleetVm(VmName("vm"), 1, "127.0.0.1:1", DataCentre("b"), 1.0)
+    private val larger = listOf("a", "b", "c").map { FleetVm(VmName("larger-$it"), 1, "127.0.0.1:1", DataCentre(it), 1_000.0) }
+    private val fleet = FleetView(self).apply { update(larger + self) }
     private var wakeUps = 0
     private var polls = 0
     private val place = VmPlace(
@@ -40,7 +48,7 @@
     private val node = InteractiveNode(
         place,
         InteractivePorts(loop, ::schedule, group::open, EventLog()),
-        isHome = { isHome },
+        fleet = fleet,
     )
 
     private val route = InteractiveRoute(
@@ -51,6 +59,7 @@
         500.milliseconds,
         Rank.URGENT,
         1_500.milliseconds,
+        isPublic = true,
     )
 
     private fun schedule(delay: Duration, task: () -> Unit): Cancel = loop.schedule(delay) {
@@ -61,7 +70,13 @@
     private fun start(connections: Int = 20) {
         group.beforeAnswer = { if (it is MemberCommand.Report || it is MemberCommand.Begin) polls++ }
         node.configure(
-            InteractiveConfiguration(1, mapOf(route.name to route), mapOf(FakeGroup.NAME to connections), 3.seconds),
+            InteractiveConfiguration(
+                number = 1,
+                routes = mapOf(route.name to route),
+                connections = mapOf(FakeGroup.NAME to connections),
+                transactionIdle = 3.seconds,
+                customers = CustomerDirectory(listOf(Customer(CustomerName("school"), emptySet(), limit = null))),
+            ),
         )
         node.updateMembers(group.discovered())
         node.start()
@@ -170,7 +185,7 @@
     inner class `a home VM` {
         @Test
         fun `polls the primary as often as a VM in use`() {
-            isHome = true
+            fleet.update(listOf(self))
             start()
             loop.advance(60.seconds)
             // Proofs are renewed once they are older than 800 ms, on a tick of 100 ms; replicas answer every 8 s.
@@ -180,7 +195,7 @@
 
         @Test
         fun `wakes three times a second at most`() {
-            isHome = true
+            fleet.update(listOf(self))
             start()
             loop.advance(60.seconds)
             // Each poll has a timeout, which is cancelled when the answer arrives, and is preceded by one tick.
