Cancel queued statements when their caller disconnects

Cause: the function that LocalExecutor.run returns only dropped the reply. A statement that waited for a slot or a connection still ran at a member after its caller had gone, and held its place in the queue. Change: MemberPool.cancel removes a request from the admission queue or ends its wait for a connection, which frees the slot. SingleStatement checks before each step whether it was cancelled, an abandoned transaction cancels the request for its connection. A statement that was sent already ends as before and returns its connection.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/LocalTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/LocalTransaction.kt
@@ -34,6 +34,7 @@
     private var link: PooledLink? = null
     private var connectedFor: RequestId? = null
     private var hasWritten = false
+    private var cancelRequest: Cancel? = null
 
     override fun facts(call: StatementCall): RoutingDetails =
         if (call.request == connectedFor) search.facts else search.facts.copy(waited = Duration.ZERO)
@@ -80,6 +81,7 @@
 
     override fun abandon() {
         failed = true
+        cancelRequest?.invoke()
         val connection = link ?: return
         link = null
         // A running statement ends first; its result handler then finds the transaction abandoned and rolls back.
@@ -98,6 +100,7 @@
     private fun findMember(call: StatementCall, done: (StatementResult.Rejected?) -> Unit) {
         if (failed) return
         search.next(call) { result ->
+            if (failed) return@next
             when (result) {
                 is SearchResult.Found -> offer(result, call, done)
                 is SearchResult.Exhausted -> done(StatementResult.Rejected(RejectionCode.BUSY, result.detail))
@@ -107,20 +110,24 @@
 
     private fun offer(found: SearchResult.Found, call: StatementCall, done: (StatementResult.Rejected?) -> Unit) {
         val chosen = found.pool
-        chosen.submit(
-            PoolRequest(
-                item = call.workItem(),
-                customer = call.customer,
-                granted = { connection, slot ->
-                    search.recordGrant(call)
-                    connectedFor = call.request
-                    // Statements of a transaction use no slot of the pool; the connection limits them to one at a time.
-                    slot.release(ran = false, answered = true)
-                    beginAt(chosen, connection, found.required, call, done)
-                },
-                refused = { done(StatementResult.Rejected(RejectionCode.BUSY, "member ${chosen.member.name}: $it")) },
-            ),
+        val request = PoolRequest(
+            item = call.workItem(),
+            customer = call.customer,
+            granted = { connection, slot ->
+                cancelRequest = null
+                search.recordGrant(call)
+                connectedFor = call.request
+                // Statements of a transaction use no slot of the pool; the connection limits them to one at a time.
+                slot.release(ran = false, answered = true)
+                beginAt(chosen, connection, found.required, call, done)
+            },
+            refused = {
+                cancelRequest = null
+                done(StatementResult.Rejected(RejectionCode.BUSY, "member ${chosen.member.name}: $it"))
+            },
         )
+        cancelRequest = { chosen.cancel(request) }
+        chosen.submit(request)
     }
 
     private fun beginAt(
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
@@ -25,14 +25,17 @@
 
 /**
  * A request for a slot and a connection for the statements of [customer]. The pool calls either [granted] or [refused],
- * exactly once.
+ * exactly once, unless the request is cancelled before.
  */
 internal class PoolRequest(
     val item: WorkItem,
     val customer: CustomerName?,
     val granted: (PooledLink, PoolSlot) -> Unit,
     val refused: (PoolRefusal) -> Unit,
-)
+) {
+    /** Whether the request was cancelled. */
+    var isCancelled: Boolean = false
+}
 
 /** An occupied slot of a pool. Only the first call of [release] has an effect. */
 internal class PoolSlot(private val pool: MemberPool, private val ticket: Ticket, private var usedSince: Duration) {
@@ -140,6 +143,20 @@
         }
     }
 
+    /** Removes [request] from the queue, or ends its wait for a connection; has no effect once it was answered. */
+    fun cancel(request: PoolRequest) {
+        request.isCancelled = true
+        val ticket = queuedRequests.entries.firstOrNull { it.value === request }?.key
+        if (ticket != null) {
+            queuedRequests.remove(ticket)
+            apply(queue.cancel(ticket, environment.now()))
+        }
+        linkWaiters.firstOrNull { it.request === request }?.let { waiter ->
+            linkWaiters.remove(waiter)
+            waiter.complete(null)
+        }
+    }
+
     fun releaseSlot(ticket: Ticket, usedSince: Duration, ran: Boolean, answered: Boolean) {
         val now = environment.now()
         val held = now - usedSince
@@ -167,7 +184,7 @@
         val link = pollIdle { true }
         if (link != null) return done(link)
         linkWaiters.addFirst(
-            LinkWaiter(null, accepts = {
+            LinkWaiter(null, null, accepts = {
                 true
             }, done).also { startTimer(it, environment.limits.reportTimeout) },
         )
@@ -270,13 +287,13 @@
         val customer = request.customer
         val link = pollIdle { it.customer == customer }
         if (link != null) return request.granted(link, slot)
-        val waiter = LinkWaiter(customer, accepts = { it.customer == customer }) { found ->
+        val waiter = LinkWaiter(customer, request, accepts = { it.customer == customer }) { found ->
             if (found != null) {
                 slot.connected(environment.now())
                 request.granted(found, slot)
             } else {
                 slot.release(ran = false, answered = true)
-                request.refused(PoolRefusal.NO_CONNECTION)
+                if (!request.isCancelled) request.refused(PoolRefusal.NO_CONNECTION)
             }
         }
         linkWaiters.addLast(waiter)
@@ -355,6 +372,7 @@
 
     private class LinkWaiter(
         val customer: CustomerName?,
+        val request: PoolRequest?,
         val accepts: (PooledLink) -> Boolean,
         private val done: (PooledLink?) -> Unit,
     ) {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/OperationExecutor.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/OperationExecutor.kt
@@ -26,17 +26,21 @@
     private val limiter: OperationLimiter,
 ) : OperationExecutor {
     override fun run(call: StatementCall, done: (StatementOutcome) -> Unit): Cancel {
+        var statement: SingleStatement? = null
         var isCancelled = false
         limiter.admit(call) { refusal ->
             when {
                 isCancelled -> Unit
                 refusal != null -> done(refused(refusal))
-                else -> SingleStatement(call, group(call.route.group), environment) {
-                    if (!isCancelled) done(it)
-                }.start()
+                else -> SingleStatement(call, group(call.route.group), environment, done)
+                    .also { statement = it }
+                    .start()
             }
         }
-        return { isCancelled = true }
+        return {
+            isCancelled = true
+            statement?.cancel()
+        }
     }
 
     override fun begin(route: InteractiveRoute, readOnly: Boolean): SessionTransaction =
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -29,35 +29,54 @@
         environment = environment,
     )
     private var lastCode = RejectionCode.BUSY
+    private var isCancelled = false
+    private var cancelRequest: Cancel? = null
+
+    /** Ends the statement without a result; if it was not sent to a member yet, it never will be. */
+    fun cancel() {
+        isCancelled = true
+        cancelRequest?.invoke()
+    }
 
     fun start() {
+        if (isCancelled) return
         val stall = if (call.access == StatementAccess.WRITE) group.describeStall() else null
         if (stall != null) return fail(RejectionCode.BUSY, stall)
         search.next(call, ::found)
     }
 
     private fun found(result: SearchResult) {
+        if (isCancelled) return
         when (result) {
             is SearchResult.Found -> offer(result.pool, result.required)
             is SearchResult.Exhausted -> fail(lastCode, result.detail)
         }
     }
 
-    private fun offer(pool: MemberPool, required: HistoryPoint?) = pool.submit(
-        PoolRequest(
+    private fun offer(pool: MemberPool, required: HistoryPoint?) {
+        val request = PoolRequest(
             item = call.workItem(),
             customer = call.customer,
             granted = { link, slot ->
+                cancelRequest = null
                 search.recordGrant(call)
                 prepare(pool, link, slot, required)
             },
-            refused = { refusal -> fail(RejectionCode.BUSY, "member ${pool.member.name}: $refusal") },
-        ),
-    )
+            refused = { refusal ->
+                cancelRequest = null
+                fail(RejectionCode.BUSY, "member ${pool.member.name}: $refusal")
+            },
+        )
+        cancelRequest = { pool.cancel(request) }
+        pool.submit(request)
+    }
 
     private fun prepare(pool: MemberPool, link: PooledLink, slot: PoolSlot, required: HistoryPoint?) {
         link.prepareFor(call.values, call.plan, environment.limits.sessionSetupTimeout) { ready ->
-            if (ready) {
+            if (ready && isCancelled) {
+                pool.releaseLink(link)
+                slot.release(ran = false, answered = true)
+            } else if (ready) {
                 run(pool, link, slot, required)
             } else {
                 link.close()
@@ -113,7 +132,7 @@
 
     private fun finish(pool: MemberPool, reply: MemberReply) {
         val written = reply.point.takeIf { call.access == StatementAccess.WRITE && reply.isCompleted }
-        if (written == null) return answer(reply.rows, reply.result, null)
+        if (written == null || isCancelled) return answer(reply.rows, reply.result, null)
         group.confirmer.await(written, pool.member.name, call.deadline) { confirmation ->
             answer(reply.rows, reply.result.confirmedBy(confirmation, written), written)
         }
@@ -121,7 +140,7 @@
 
     private fun answer(rows: List<String>, result: StatementResult, written: HistoryPoint?) {
         val shown = rows.takeIf { result is StatementResult.Completed }.orEmpty()
-        done(StatementOutcome(SessionReply(shown, result, TransactionState.IDLE), written, search.facts))
+        end(StatementOutcome(SessionReply(shown, result, TransactionState.IDLE), written, search.facts))
     }
 
     private fun retry(pool: MemberPool, code: RejectionCode) {
@@ -136,6 +155,10 @@
 
     private fun fail(code: RejectionCode, detail: String) {
         val result = StatementResult.Rejected(code, detail)
-        done(StatementOutcome(SessionReply(emptyList(), result, TransactionState.IDLE), null, search.facts))
+        end(StatementOutcome(SessionReply(emptyList(), result, TransactionState.IDLE), null, search.facts))
+    }
+
+    private fun end(outcome: StatementOutcome) {
+        if (!isCancelled) done(outcome)
     }
 }
