Forward operations to another VM

Cause: each VM opens its own connections to each member, most of which serve a single statement. The first statement of a transaction is marked as such: a home VM that has lost a transaction must not begin it again in the middle.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/ForwardingPayloads.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/ForwardingPayloads.kt
@@ -30,8 +30,10 @@
 )
 
 /**
- * Runs [call] in a transaction of the sending VM, which begins with its first statement; answered by an
- * [OutcomePayload] with the same [number].
+ * Runs [call] in a transaction of the sending VM; answered by an [OutcomePayload] with the same [number].
+ *
+ * @property begins whether this is the first statement. The receiver never begins [transaction] at a later one, as it
+ * would commit a part of the transaction only.
  */
 @Serializable
 internal data class TransactionStatementPayload(
@@ -40,6 +42,7 @@
     @ProtoNumber(3) val readOnly: Boolean = false,
     @ProtoNumber(4) val commits: Boolean = false,
     @ProtoNumber(5) val call: CallPayload = CallPayload(),
+    @ProtoNumber(6) val begins: Boolean = false,
 )
 
 /** Cancels the call with [number]. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/PeerMessage.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/PeerMessage.kt
@@ -28,11 +28,16 @@
     @ProtoNumber(14) val feedUpdate: FeedUpdatePayload? = null,
 )
 
-/** First message on a link: who sends, and in which run of its process. */
+/**
+ * First message on a link in each direction: who sends, and in which run of its process.
+ *
+ * @property sequence increases with each hello of the run, on any link, so that the receiver knows the latest one.
+ */
 @Serializable
 internal data class HelloPayload(
     @ProtoNumber(1) val vm: String = "",
     @ProtoNumber(2) val run: Long = 0,
+    @ProtoNumber(3) val sequence: Long = 0,
 )
 
 /** Asks for a sign of life; answered by a [PongPayload] with the same [number]. */
--- /dev/null
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingServer.kt
@@ -0,0 +1,225 @@
+package dev.kumquatknot.proxy.forwarding
+
+import dev.kumquatknot.core.customer.CustomerName
+import dev.kumquatknot.core.identity.VmName
+import dev.kumquatknot.core.interactive.InteractiveConfiguration
+import dev.kumquatknot.core.interactive.InteractiveRoute
+import dev.kumquatknot.core.interactive.RejectionCode
+import dev.kumquatknot.core.interactive.TransactionState
+import dev.kumquatknot.proxy.fleet.CallPayload
+import dev.kumquatknot.proxy.fleet.OutcomePayload
+import dev.kumquatknot.proxy.fleet.PeerListener
+import dev.kumquatknot.proxy.fleet.PeerMessage
+import dev.kumquatknot.proxy.fleet.PeerNetwork
+import dev.kumquatknot.proxy.fleet.PongPayload
+import dev.kumquatknot.proxy.fleet.RunPayload
+import dev.kumquatknot.proxy.fleet.TransactionStatementPayload
+import dev.kumquatknot.proxy.interactive.Cancel
+import dev.kumquatknot.proxy.interactive.NodeEnvironment
+import dev.kumquatknot.proxy.interactive.OperationExecutor
+import dev.kumquatknot.proxy.interactive.SessionTransaction
+import dev.kumquatknot.proxy.interactive.StatementOutcome
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Serves the operations of other VMs with [executor] and this VM's own [configuration]. Has to be added to [network] as
+ * a listener.
+ *
+ * @param takesOperations whether new operations are served; a VM that leaves only finishes the open ones.
+ * @param dropLink drops the link to a VM that cannot be answered, so that it doesn't wait in vain.
+ */
+internal class ForwardingServer(
+    private val executor: OperationExecutor,
+    private val network: PeerNetwork,
+    private val environment: NodeEnvironment,
+    private val configuration: () -> InteractiveConfiguration,
+    private val takesOperations: () -> Boolean,
+    private val dropLink: (VmName) -> Unit,
+) : PeerListener {
+    private val callers = HashMap<VmName, Caller>()
+    private val watches = SilenceWatches(network, environment, PING_AFTER, DROP_AFTER_PING, dropLink, ::disconnected)
+
+    /** Number of statements that run or wait and of transactions that are open. */
+    val openOperations: Int get() = callers.values.sumOf { it.running.size + it.transactions.size }
+
+    override fun received(vm: VmName, message: PeerMessage) {
+        watches.recordSign(vm)
+        message.run?.let { run(vm, it) }
+        message.transaction?.let { runInTransaction(vm, it) }
+        message.cancel?.let { cancel(vm, it.number) }
+        message.abandon?.let { abandon(vm, it.transaction) }
+        message.ping?.let { network.send(vm, PeerMessage(pong = PongPayload(it.number))) }
+    }
+
+    override fun disconnected(vm: VmName) {
+        watches.remove(vm)
+        val caller = callers.remove(vm) ?: return
+        caller.running.values.toList().forEach { it() }
+        caller.transactions.values.toList().forEach { it.abandon() }
+    }
+
+    /** Rolls back the open transactions that run no statement. */
+    fun interruptTransactions() {
+        callers.values.flatMap { it.transactions.values }.filter { !it.isServing }.forEach { it.abandon() }
+    }
+
+    private fun run(vm: VmName, payload: RunPayload) {
+        val route = admittedRoute(payload.call) ?: return refuse(vm, payload.number)
+        val caller = callerOf(vm)
+        if (payload.number in caller.running) return
+        var isAnswered = false
+        val cancel = executor.run(payload.call.toCall(route, environment.now())) { outcome ->
+            isAnswered = true
+            caller.running.remove(payload.number)
+            answer(vm, payload.number, outcome, codeIfTooLarge(payload.call.writes, RejectionCode.FAILED))
+            endWatchIfIdle(caller)
+        }
+        if (!isAnswered) caller.running[payload.number] = cancel
+        endWatchIfIdle(caller)
+    }
+
+    private fun runInTransaction(vm: VmName, payload: TransactionStatementPayload) {
+        val caller = callerOf(vm)
+        var open = caller.transactions[payload.transaction]
+        if (open == null && payload.begins) {
+            val route = admittedRoute(payload.call) ?: return refuse(vm, payload.number).also { endWatchIfIdle(caller) }
+            open = ServedTransaction(executor.begin(route, payload.readOnly), environment)
+            caller.transactions[payload.transaction] = open
+        }
+        if (open == null || open.hasFailed || open.isServing) {
+            abandon(vm, payload.transaction)
+            val outcome = rejectedOutcome(RejectionCode.ABORTED, "the transaction is not open", TransactionState.FAILED)
+            return answer(vm, payload.number, outcome, RejectionCode.ABORTED)
+        }
+        open.run(payload, configuration().transactionIdle) { outcome ->
+            if (outcome.reply.state != TransactionState.OPEN) caller.transactions.remove(payload.transaction)
+            answer(vm, payload.number, outcome, codeIfTooLarge(payload.commits, RejectionCode.ABORTED)) {
+                abandon(vm, payload.transaction)
+            }
+            endWatchIfIdle(caller)
+        }
+    }
+
+    private fun codeIfTooLarge(mayHaveWritten: Boolean, otherwise: RejectionCode) =
+        if (mayHaveWritten) RejectionCode.IN_DOUBT else otherwise
+
+    private fun cancel(vm: VmName, number: Long) {
+        val caller = callers[vm] ?: return
+        caller.running.remove(number)?.invoke()
+        endWatchIfIdle(caller)
+    }
+
+    private fun abandon(vm: VmName, transaction: Long) {
+        val caller = callers[vm] ?: return
+        caller.transactions.remove(transaction)?.abandon()
+        endWatchIfIdle(caller)
+    }
+
+    /** Returns the route for a new operation; null if this VM does not serve it. */
+    private fun admittedRoute(call: CallPayload): InteractiveRoute? {
+        val current = configuration()
+        val customers = current.customers
+        val customer = call.customer?.let(::CustomerName)
+        return current.routes[call.database]?.takeIf { route ->
+            val isAdmitted = when {
+                customer != null -> customers[customer]?.keys.orEmpty().isNotEmpty()
+                else -> customers.isEmpty || route.isPublic
+            }
+            isAdmitted && takesOperations()
+        }
+    }
+
+    private fun refuse(vm: VmName, number: Long) {
+        network.send(vm, PeerMessage(outcome = OutcomePayload(number = number, notServedHere = true)))
+    }
+
+    /**
+     * Answers [vm]. An outcome that is too large for the link is replaced by one with [codeIfTooLarge], without rows,
+     * since the other VM would wait in vain. If even that cannot be sent, the loss of the link tells it.
+     */
+    private fun answer(
+        vm: VmName,
+        number: Long,
+        outcome: StatementOutcome,
+        codeIfTooLarge: RejectionCode,
+        onReplaced: () -> Unit = {},
+    ) {
+        if (network.send(vm, PeerMessage(outcome = outcome.toPayload(number)))) return
+        onReplaced()
+        val state = if (outcome.reply.state == TransactionState.IDLE) TransactionState.IDLE else TransactionState.FAILED
+        val replacement = rejectedOutcome(codeIfTooLarge, "the answer is too large to be forwarded", state)
+        if (!network.send(vm, PeerMessage(outcome = replacement.toPayload(number)))) dropLink(vm)
+    }
+
+    private fun callerOf(vm: VmName): Caller {
+        val caller = callers.getOrPut(vm) { Caller() }
+        if (caller.endWatch == null) caller.endWatch = watches.watch(vm)
+        return caller
+    }
+
+    private fun endWatchIfIdle(caller: Caller) {
+        if (caller.running.isNotEmpty() || caller.transactions.isNotEmpty()) return
+        caller.endWatch?.invoke()
+        caller.endWatch = null
+    }
+
+    /** What runs here for one VM, by the numbers that it gave. */
+    private class Caller {
+        val running = HashMap<Long, Cancel>()
+        val transactions = HashMap<Long, ServedTransaction>()
+        var endWatch: Cancel? = null
+    }
+
+    private companion object {
+        /**
+         * Time without a message after which a VM that has open operations here is pinged. A lost VM normally closes
+         * its link; this detects one that vanished without, whose transactions would hold locks until they are idle for
+         * too long.
+         */
+        val PING_AFTER = 1.seconds
+
+        /** Time from the ping until the link is dropped. */
+        val DROP_AFTER_PING = 500.milliseconds
+    }
+}
+
+/** An open transaction of another VM. */
+private class ServedTransaction(
+    private val transaction: SessionTransaction,
+    private val environment: NodeEnvironment,
+) {
+    private var idleTimer: Cancel? = null
+
+    /** Whether a statement runs. */
+    var isServing = false
+        private set
+
+    val hasFailed: Boolean get() = transaction.failed
+
+    /** Runs the statement of [payload]; afterwards the transaction may be idle for [idleLimit]. */
+    fun run(payload: TransactionStatementPayload, idleLimit: Duration, done: (StatementOutcome) -> Unit) {
+        idleTimer?.invoke()
+        isServing = true
+        val call = payload.call.toCall(transaction.route, environment.now())
+        val ended = { outcome: StatementOutcome ->
+            isServing = false
+            if (outcome.reply.state == TransactionState.OPEN && idleLimit.isFinite()) {
+                idleTimer = environment.schedule(idleLimit) { transaction.abandon() }
+            }
+            done(outcome)
+        }
+        if (payload.commits) {
+            transaction.commit(call) { reply, point -> ended(StatementOutcome(reply, point, transaction.facts(call))) }
+        } else {
+            transaction.run(call) { ended(StatementOutcome(it, null, transaction.facts(call))) }
+        }
+    }
+
+    /** Rolls the transaction back. */
+    fun abandon() {
+        idleTimer?.invoke()
+        transaction.abandon()
+    }
+}
