--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
@@ -24,6 +24,7 @@
     PEER_LOST(220, Level.WARN, "Another VM does not answer"),
     PEER_FOUND(221, Level.INFO, "Another VM answers"),
     VM_LEAVING(222, Level.INFO, "A VM is leaving and gets no new work"),
+    PEER_MESSAGE_INVALID(223, Level.WARN, "A message of another VM could not be read; its link was closed"),
     PRIMARY_LOST(300, Level.WARN, "A primary does not answer or is no longer followed by a majority"),
     PROMOTION_STARTED(301, Level.INFO, "A promotion has started"),
     PROMOTION_WON(302, Level.INFO, "A promotion has succeeded; the group has a new primary"),
