--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -77,18 +77,16 @@
     private val waitingOpenings = LinkedHashSet<WaitingOpening>()
     private val homes = HomeVms(fleet, place.regions::get)
     private val placement = OperationPlacement(homes, place.dataCentre)
-    private val services by lazy {
-        SessionServices(
-            environment = environment,
-            route = { configuration.routes[it] },
-            admission = { route, key -> CallerAdmission.of(configuration.customers, route, key) },
-            executor = executor,
-            transactionIdle = { configuration.transactionIdle },
-            onAnswer = StatementRecorder(environment, ports.metrics)::record,
-            onReply = { if (closing && it.isIdle) it.close() },
-            onEnd = { sessions.remove(it) },
-        )
-    }
+    private val services = SessionServices(
+        environment = environment,
+        route = { configuration.routes[it] },
+        admission = { route, key -> CallerAdmission.of(configuration.customers, route, key) },
+        executor = { executor },
+        transactionIdle = { configuration.transactionIdle },
+        onAnswer = StatementRecorder(environment, ports.metrics)::record,
+        onReply = { if (closing && it.isIdle) it.close() },
+        onEnd = { sessions.remove(it) },
+    )
     private var links: FleetLinks? = null
     private var members: List<DiscoveredMember>? = null
     private var membersEra = StoreEra.UNKNOWN
@@ -112,7 +110,7 @@
 
     internal val nodeEnvironment: NodeEnvironment get() = environment
 
-    /** Runs the operations of sessions, on this VM unless another one is set before the first session is opened. */
+    /** Runs the operations of sessions, on this VM unless another executor is set. */
     internal var executor: OperationExecutor = LocalExecutor(::group, environment, OperationLimiter.UNLIMITED)
 
     /** Whether this VM decides failovers; it then polls members more often and for more data. */
@@ -159,6 +157,18 @@
     private fun isHomeOfAnyRegion(group: DatabaseName): Boolean =
         configuration.customers.isEmpty || place.regions.keys.any { homes.isHome(group.value, it, environment.now()) }
 
+    /** VMs of this VM's region that watch the store for all of the region, in order of preference. */
+    internal fun feedSources(): List<VmName> =
+        homes.live(FEED_SUBJECT, homes.region(place.dataCentre), environment.now()).take(FEED_SOURCES).map { it.name }
+
+    /** Position of this VM among those of its region that compete for the fleet's duties; 0 where nothing is shared. */
+    public fun dutyRank(): Int {
+        val self = homes.self ?: return 0
+        if (configuration.customers.isEmpty) return 0
+        val candidates = homes.live(DUTY_SUBJECT, homes.region(place.dataCentre), environment.now())
+        return candidates.indexOfFirst { it.name == self }.coerceAtLeast(0)
+    }
+
     /**
      * Returns where an operation on [route] runs now, and why; [isRead] is whether it is a read or a read-only
      * transaction.
@@ -320,5 +330,10 @@
     private companion object {
         /** VMs from which on reads are placed by estimates of load even without customers. */
         const val BALANCED_FLEET_SIZE = 16
+        const val FEED_SUBJECT = "feeds"
+        const val DUTY_SUBJECT = "duties"
+
+        /** With two, the others of the region need not watch the store when one of them is lost. */
+        const val FEED_SOURCES = 2
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -113,7 +113,7 @@
             return reject(RejectionCode.MALFORMED, "a transaction is open")
         }
         val (route, customer) = admitted() ?: return
-        transaction = services.executor.begin(route, statement.readOnly)
+        transaction = services.executor().begin(route, statement.readOnly)
         transactionCustomer = customer
         complete()
     }
@@ -156,7 +156,7 @@
         val (route, customer) = admitted() ?: return
         val call = call(request, route, customer, access, plan, text)
         var isAnswered = false
-        val cancel = services.executor.run(call) { outcome ->
+        val cancel = services.executor().run(call) { outcome ->
             isAnswered = true
             cancelRunning = null
             outcome.written?.let(::recordWrite)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionServices.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SessionServices.kt
@@ -18,7 +18,7 @@
     val environment: NodeEnvironment,
     val route: (database: String) -> InteractiveRoute?,
     val admission: (InteractiveRoute, CallerKey?) -> CallerAdmission,
-    val executor: OperationExecutor,
+    val executor: () -> OperationExecutor,
     val transactionIdle: () -> Duration,
     val onAnswer: (StatementCall, SessionReply, RoutingDetails) -> Unit,
     val onReply: (InteractiveSession) -> Unit,
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/RestingNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/RestingNodeSpec.kt
@@ -37,7 +37,9 @@
     private val loop = VirtualLoop()
     private val group = FakeGroup(loop).apply { appliesAtOnce = true }
     private val self = FleetVm(VmName("vm"), 1, "127.0.0.1:1", DataCentre("b"), 1.0)
-    private val larger = listOf("a", "b", "c").map { FleetVm(VmName("larger-$it"), 1, "127.0.0.1:1", DataCentre(it), 1_000.0) }
+    private val larger = listOf("a", "b", "c").map {
+        FleetVm(VmName("larger-$it"), 1, "127.0.0.1:1", DataCentre(it), 1_000.0)
+    }
     private val fleet = FleetView(self).apply { update(larger + self) }
     private var wakeUps = 0
     private var polls = 0
