--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingVm.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingVm.kt
@@ -21,6 +21,7 @@
 import dev.kumquatknot.proxy.interactive.Cancel
 import dev.kumquatknot.proxy.interactive.ConnectionBudget
 import dev.kumquatknot.proxy.interactive.FakeGroup
+import dev.kumquatknot.proxy.interactive.GroupListener
 import dev.kumquatknot.proxy.interactive.GroupPoller
 import dev.kumquatknot.proxy.interactive.GroupPools
 import dev.kumquatknot.proxy.interactive.InteractiveLimits
@@ -65,13 +66,19 @@
     val details = HashMap<String, RoutingDetails>()
     private val environment =
         NodeEnvironment(loop, loop::schedule, group::open, EventLog(), InteractiveLimits())
-    private val poller = GroupPoller(environment)
+    private val poller = GroupPoller(environment, isHome = { true }, onFailure = {})
     private val pools = GroupPools(
         group = FakeGroup.NAME,
         environment = environment,
         isRemote = { false },
         connections = { ConnectionBudget(configuration.connections.getValue(FakeGroup.NAME), VMS) },
-        onPrimaryUnknown = { poller.poll(it, false) },
+        listener = object : GroupListener {
+            override fun changed() = Unit
+
+            override fun primaryUnknown(group: GroupPools) {
+                poller.poll(group, false)
+            }
+        },
     )
     private val local = RecordingExecutor(LocalExecutor({ pools }, environment, OperationLimiter.UNLIMITED))
     private val endpoint = fleet.endpoint(this.name)
@@ -102,7 +109,7 @@
     }
 
     private fun maintain() {
-        pools.maintain()
+        pools.maintainIfDue()
         loop.schedule(environment.limits.maintenanceInterval, ::maintain)
     }
 
@@ -120,7 +127,7 @@
             environment = environment,
             route = { ROUTES[it] },
             admission = { _, _ -> CallerAdmission.Admitted(customer?.let(::CustomerName)) },
-            executor = executor,
+            executor = { executor },
             transactionIdle = { Duration.INFINITE },
             onAnswer = { call, _, facts -> details[call.request.value] = facts },
             onReply = {},
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/CancelledStatementSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/CancelledStatementSpec.kt
@@ -38,11 +38,15 @@
         environment = environment,
         isRemote = { false },
         connections = { ConnectionBudget(20, 1) },
-        onPrimaryUnknown = {},
+        listener = object : GroupListener {
+            override fun changed() = Unit
+
+            override fun primaryUnknown(group: GroupPools) = Unit
+        },
     )
     private val executor = LocalExecutor({ pools }, environment, OperationLimiter.UNLIMITED)
     private val outcomes = ArrayList<StatementOutcome>()
-    private val poller = GroupPoller(environment)
+    private val poller = GroupPoller(environment, isHome = { true }, onFailure = {})
 
     init {
         group.beforeAnswer = { commands += it }
@@ -53,7 +57,7 @@
     }
 
     private fun maintain() {
-        pools.maintain()
+        pools.maintainIfDue()
         loop.schedule(environment.limits.maintenanceInterval, ::maintain)
     }
 
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/RestingNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/RestingNodeSpec.kt
@@ -36,11 +36,11 @@
 class RestingNodeSpec {
     private val loop = VirtualLoop()
     private val group = FakeGroup(loop).apply { appliesAtOnce = true }
-    private val self = FleetVm(VmName("vm"), 1, "127.0.0.1:1", DataCentre("b"), 1.0)
+    private val ownVm = FleetVm(VmName("vm"), 1, "127.0.0.1:1", DataCentre("b"), 1.0)
     private val larger = listOf("a", "b", "c").map {
         FleetVm(VmName("larger-$it"), 1, "127.0.0.1:1", DataCentre(it), 1_000.0)
     }
-    private val fleet = FleetView(self).apply { update(larger + self) }
+    private val fleet = FleetView(ownVm).apply { update(larger + ownVm) }
     private var wakeUps = 0
     private var polls = 0
     private val place = VmPlace(
@@ -187,7 +187,7 @@
     inner class `a home VM` {
         @Test
         fun `polls the primary as often as a VM in use`() {
-            fleet.update(listOf(self))
+            fleet.update(listOf(ownVm))
             start()
             loop.advance(60.seconds)
             // Proofs are renewed once they are older than 800 ms, on a tick of 100 ms; replicas answer every 8 s.
@@ -197,7 +197,7 @@
 
         @Test
         fun `wakes three times a second at most`() {
-            fleet.update(listOf(self))
+            fleet.update(listOf(ownVm))
             start()
             loop.advance(60.seconds)
             // Each poll has a timeout, which is cancelled when the answer arrives, and is preceded by one tick.
