Share slots fairly among teams of one rank, and limit a flooding team

All ranks and all teams had one virtual time for fair queueing. A team that became active in a rank that gets little slot time started at the virtual time of a busier rank, so it was served after all work of a team with a backlog.

The number of slots can change, slots can be reserved for other uses, and a ticket tells the latest start of its item; connection pools for customers need these.

Checked: specs of admission and pooling; the spec of two teams of one rank fails with the former virtual time.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/Admission.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/Admission.kt
@@ -12,6 +12,9 @@
 ) {
     internal var state: TicketState = TicketState.WAITING
 
+    /** Time after which the item, if it has not begun to run, is not expected to meet its deadline. */
+    public val latestStart: Duration get() = item.deadline - expectedService
+
     override fun toString(): String = "ticket of ${item.id}"
 }
 
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/AdmissionQueue.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/admission/AdmissionQueue.kt
@@ -22,21 +22,23 @@
  */
 public class AdmissionQueue(slots: Int, private val policy: AdmissionPolicy = AdmissionPolicy()) {
     private val flows = LinkedHashMap<FlowKey, Flow>()
-    private val rankClock = FairQueueingClock<Rank>()
-    private val teamClock = FairQueueingClock<Pair<Rank, TeamName>>()
-    private val kindClock = FairQueueingClock<Triple<Rank, TeamName, KindName>>()
+    private val rankClock = FairQueueingClock<Rank> { Unit }
+    private val teamClock = FairQueueingClock<Pair<Rank, TeamName>> { (rank, _) -> rank }
+    private val kindClock = FairQueueingClock<Triple<Rank, TeamName, KindName>> { (rank, team, _) -> Pair(rank, team) }
     private val usage = Rank.entries.associateWith { UsageRate(policy.usageWindow) }
+    private val teamUsage = HashMap<TeamName, UsageRate>()
     private val service = DurationAverage(policy.serviceTimeWeight, policy.initialServiceTime)
     private val wait = DurationAverage(policy.serviceTimeWeight, Duration.ZERO)
     private var limit = ConcurrencyLimit(slots)
     private var inFlight = 0
+    private var reserved = 0
     private var queued = 0
 
     /** Grants [item] a slot, queues it, or refuses it without running it. */
     public fun offer(item: WorkItem, now: Duration): Admission {
         val flow = flowOf(item)
         val expected = flow.expectedService(item)
-        if (inFlight < limit.current && queued == 0) {
+        if (hasFreeSlot && queued == 0) {
             if (now + expected > item.deadline) return refusal(RefusalReason.DEADLINE_UNREACHABLE, expected)
             return Admission.Granted(start(Ticket(item, flow, now, expected), now))
         }
@@ -98,6 +100,24 @@
         return QueueChanges(emptyList(), flows.values.flatMap { expireAll(it, now) })
     }
 
+    /**
+     * Changes the number of slots to [slots], for example when the queue's share of the member's slots changes. The
+     * adapted concurrency limit stays in proportion.
+     */
+    public fun changeSlots(slots: Int, now: Duration): QueueChanges {
+        if (slots == limit.slots) return QueueChanges.NONE
+        val exact = (limit.exact * slots / limit.slots).coerceIn(1.0, slots.toDouble())
+        limit = ConcurrencyLimit(slots, exact, limit.slowdown)
+        return dispatch(now)
+    }
+
+    /** Sets the number of slots within the limit that something else than admitted items uses to [slots]. */
+    public fun reserve(slots: Int, now: Duration): QueueChanges {
+        val isFreed = slots < reserved
+        reserved = slots
+        return if (isFreed) dispatch(now) else QueueChanges.NONE
+    }
+
     /** Returns the current load of the member. */
     public fun load(): QueueLoad = QueueLoad(
         limit = limit.current,
@@ -107,6 +127,8 @@
         wait = wait.value,
     )
 
+    private val hasFreeSlot: Boolean get() = inFlight + reserved < limit.current
+
     private fun flowOf(item: WorkItem): Flow {
         val existing = flows[item.flow]
         if (existing != null && (existing.rank == item.rank || existing.queued > 0)) {
@@ -123,6 +145,7 @@
         rankClock.removeIdle { rank -> flows.values.any { it.rank == rank } }
         teamClock.removeIdle { (rank, team) -> flows.values.any { it.rank == rank && it.key.team == team } }
         kindClock.removeIdle { (_, team, kind) -> FlowKey(team, kind) in flows }
+        teamUsage.keys.removeIf { team -> flows.values.none { it.key.team == team } }
     }
 
     private fun enqueue(ticket: Ticket, now: Duration): Ticket {
@@ -164,6 +187,7 @@
         teamClock.correct(flow.teamKey, seconds)
         kindClock.correct(flow.kindKey, seconds)
         usage.getValue(flow.rank).add(serviceTime, now)
+        teamUsage.getOrPut(flow.key.team) { UsageRate(policy.usageWindow) }.add(serviceTime, now)
     }
 
     private fun dispatch(now: Duration): QueueChanges {
@@ -171,7 +195,7 @@
         val granted = ArrayList<Ticket>()
         val expired = ArrayList<ExpiredTicket>()
         flows.values.forEach { expired += expireHeads(it, now) }
-        while (inFlight < limit.current && queued > 0) {
+        while (hasFreeSlot && queued > 0) {
             granted += startNext(now)
             flows.values.forEach { expired += expireHeads(it, now) }
         }
@@ -180,15 +204,20 @@
 
     private fun startNext(now: Duration): Ticket {
         val waiting = flows.values.filter { it.queued > 0 }.onEach { it.accrueFloorTime(now, limit.slots) }
-        val flow = policy.selectFlow(waiting.map { it.waitingFlow() }).flow
+        val flow = policy.selectFlow(waiting.map { waitingFlow(it, now) }).flow
         val ticket = flow.removeHead()
         queued--
         ticket.expectedService = flow.expectedService(ticket.item)
         return start(ticket, now)
     }
 
-    private fun Flow.waitingFlow() =
-        WaitingFlow(this, rankClock.tag(rank), teamClock.tag(teamKey), kindClock.tag(kindKey))
+    private fun waitingFlow(flow: Flow, now: Duration) = WaitingFlow(
+        flow = flow,
+        rankTag = rankClock.tag(flow.rank),
+        teamTag = teamClock.tag(flow.teamKey),
+        kindTag = kindClock.tag(flow.kindKey),
+        teamShare = (teamUsage[flow.key.team]?.slots(now) ?: 0.0) / limit.current,
+    )
 
     private fun expireHeads(flow: Flow, now: Duration): List<ExpiredTicket> {
         val expired = ArrayList<ExpiredTicket>()
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/admission/AdmissionQueueSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/admission/AdmissionQueueSpec.kt
@@ -40,6 +40,69 @@
 
     private fun kinds(changes: QueueChanges) = changes.granted.map { it.item.kind.value }
 
+    @Nested
+    inner class `two teams of one rank` {
+        private val oneSlot = AdmissionQueue(slots = 1)
+
+        /** Guards against one virtual time for all ranks: a new team then waits for all work of one with a backlog. */
+        @Test
+        fun `share slots fairly while a more urgent rank uses most of them`() {
+            var running = (oneSlot.offer(item("pay", Rank.URGENT), Duration.ZERO) as Admission.Granted).ticket
+            repeat(10) { oneSlot.offer(item("first", Rank.BACKGROUND, team = "first"), Duration.ZERO) }
+            repeat(50) {
+                oneSlot.offer(item("pay", Rank.URGENT), Duration.ZERO)
+                running = oneSlot.release(running, Duration.ZERO, 5.milliseconds).granted.single()
+            }
+            oneSlot.offer(item("second", Rank.BACKGROUND, team = "second"), Duration.ZERO)
+            val next = List(2) {
+                running = oneSlot.release(running, Duration.ZERO, 5.milliseconds).granted.single()
+                running.item.kind.value
+            }
+            expectThat(next).contains("second")
+        }
+    }
+
+    @Nested
+    inner class `reserved slots` {
+        @Test
+        fun `are not granted until they are free again`() {
+            queue.reserve(2, Duration.ZERO)
+            granted(item("browse"))
+            expectThat(queue.offer(item("browse"), Duration.ZERO)).isA<Admission.Queued>()
+            expectThat(kinds(queue.reserve(1, 1.milliseconds))).containsExactly("browse")
+        }
+    }
+
+    @Nested
+    inner class `a changed number of slots` {
+        @Test
+        fun `grants waiting work if it is higher`() {
+            fill()
+            queue.offer(item("browse"), Duration.ZERO)
+            expectThat(kinds(queue.changeSlots(4, 1.milliseconds))).containsExactly("browse")
+            expectThat(queue.load().limit).isEqualTo(4)
+        }
+
+        @Test
+        fun `takes effect as statements end if it is lower`() {
+            val running = fill()
+            queue.changeSlots(1, Duration.ZERO)
+            queue.offer(item("browse"), Duration.ZERO)
+            expectThat(kinds(queue.release(running[0], 5.milliseconds, 5.milliseconds))).isEmpty()
+            expectThat(kinds(queue.release(running[1], 5.milliseconds, 5.milliseconds))).isEmpty()
+            expectThat(kinds(queue.release(running[2], 5.milliseconds, 5.milliseconds))).containsExactly("browse")
+        }
+
+        @Test
+        fun `keeps the limit of a slow member in proportion`() {
+            val running = fill()
+            queue.release(running[0], 1.milliseconds, 5.milliseconds, answered = false)
+            expectThat(queue.load().limit).isEqualTo(1)
+            queue.changeSlots(6, 1.milliseconds)
+            expectThat(queue.load().limit).isEqualTo(3)
+        }
+    }
+
     @Nested
     inner class `free slots` {
         @Test
