Keep member connections by customer, in roles of a home VM and of a guest

Every statement of a caller must run on a connection opened for the caller's customer, and a member takes far fewer connections than all VMs and customers would keep. MemberPool closed the oldest idle connection for each other customer and had one share of the member for all VMs.

MemberPool is split into admission, kept connections, opening, counting and waiting work in the package pool, which does not depend on the sessions; the types that both use moved with it, and type aliases keep their former names. A pool has a role: a home VM uses all slots and at most six tenths of the connections and keeps idle ones, a guest a third of the slots and free connections only. In both roles, handshakes count as used slots. Polls use any customer's idle connection and leave the order of use alone. Work that cannot meet its deadline stops waiting for a connection. Connections of removed customers are closed once idle, and a request can be cancelled.

Without customers and roles the behaviour stays: SharedConnectionsSpec, ConnectionBudgetSpec and InteractiveNodeSpec pass unchanged, apart from the package of ConnectionBudgetSpec.

Checked: specs of the parts and of the pool on a member in memory; a load of 86 customers at one home VM. CustomerLoadSpec misses the bound of 0.05 connections opened per operation.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/pooling/ConnectionSituation.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/pooling/ConnectionSituation.kt
@@ -7,8 +7,10 @@
     /**
      * A statement of [customer], which runs only on a connection that was opened with that name; null for a caller
      * without a customer, whose statements run on connections that were opened for the proxy itself.
+     *
+     * @property isPatient whether the statement can wait until a busy connection of its customer is free.
      */
-    public data class Statement(val customer: CustomerName?) : ConnectionDemand
+    public data class Statement(val customer: CustomerName?, val isPatient: Boolean = false) : ConnectionDemand
 
     /**
      * A statement of the proxy itself, which runs on any connection; [mayOpen] is whether one is opened for it.
@@ -20,15 +22,19 @@
  * Connections of one VM to one member, and the work that waits for one. The customer null is the proxy itself.
  *
  * @property idle customers of the idle connections, least recently used first.
+ * @property busy customers of the connections in use.
  * @property opening customers of the connections that are opening, oldest first.
  * @property waiting waiting work in queue order.
  */
 public data class ConnectionSituation(
-    val open: Int,
     val idle: List<CustomerName?>,
+    val busy: List<CustomerName?>,
     val opening: List<CustomerName?>,
     val waiting: List<ConnectionDemand>,
-)
+) {
+    /** Number of all connections. */
+    val open: Int get() = idle.size + busy.size + opening.size
+}
 
 /**
  * What a VM may use of one member.
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/pooling/CustomerConnections.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/pooling/CustomerConnections.kt
@@ -26,26 +26,29 @@
     public fun chooseForPoll(idle: List<CustomerName?>): Int? =
         chooseForStatement(idle, customer = null) ?: 0.takeIf { idle.isNotEmpty() }
 
-    /** Returns the index in [waiting] of the work that gets a free connection of [customer]; null if none can use it. */
+    /** Returns the index in [waiting] of the work that gets a free connection of [customer]; null if there is none. */
     public fun chooseWork(waiting: List<ConnectionDemand>, customer: CustomerName?): Int? {
         // A poll can wait for any other connection, the statement for which this one was opened cannot.
-        val own = if (customer == null) -1 else waiting.indexOf(Statement(customer))
+        val own = if (customer == null) -1 else waiting.indexOfFirst { it is Statement && it.customer == customer }
         return if (own >= 0) own else waiting.indexOfFirst { it.accepts(customer) }.takeIf { it >= 0 }
     }
 
     /**
      * Returns the next change for the waiting work that no opening connection serves. The first such work is served
-     * first; a later one only if the customer of the first has too many openings already.
+     * first; a later one only if the customer of the first has too many openings already. An idle connection of another
+     * customer is not closed for patient work that a busy connection will serve.
      */
     public fun nextStep(situation: ConnectionSituation, allowance: ConnectionAllowance): ConnectionStep {
         if (situation.opening.size >= allowance.openings) return ConnectionStep.Wait
         val openings = situation.opening.groupingBy { it }.eachCount()
-        val work = unserved(situation)
-            .firstOrNull { (openings[it.customerToOpen] ?: 0) < allowance.openingsPerCustomer }
-            ?: return ConnectionStep.Wait
-        if (situation.open < allowance.connections) return ConnectionStep.Open(work.customerToOpen)
+        val openable = unserved(situation)
+            .filter { (openings[it.customerToOpen] ?: 0) < allowance.openingsPerCustomer }
+        if (situation.open < allowance.connections) {
+            return openable.firstOrNull()?.let { ConnectionStep.Open(it.customerToOpen) } ?: ConnectionStep.Wait
+        }
+        val urgent = withoutPatient(openable, situation.busy).firstOrNull() ?: return ConnectionStep.Wait
         val closed = leastNeeded(situation) ?: return ConnectionStep.Wait
-        return ConnectionStep.Replace(closed, work.customerToOpen)
+        return ConnectionStep.Replace(closed, urgent.customerToOpen)
     }
 
     /** Work for which a connection may be opened and which none of the opening ones will serve. */
@@ -55,6 +58,12 @@
         return remaining.filterNot { it is Poll && !it.mayOpen }
     }
 
+    private fun withoutPatient(work: List<ConnectionDemand>, busy: List<CustomerName?>): List<ConnectionDemand> {
+        val remaining = work.toMutableList()
+        busy.forEach { customer -> remaining.remove(Statement(customer, isPatient = true)) }
+        return remaining
+    }
+
     /**
      * Returns the index of the idle connection to close first: the one that was unused for longest among those whose
      * customer has no waiting work; null if there is none.
@@ -65,7 +74,7 @@
     }
 
     private fun ConnectionDemand.accepts(customer: CustomerName?): Boolean =
-        this is Poll || this == Statement(customer)
+        this is Poll || customerToOpen == customer
 
     private val ConnectionDemand.customerToOpen: CustomerName? get() = (this as? Statement)?.customer
 }
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/admission/CustomerFairnessSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/admission/CustomerFairnessSpec.kt
@@ -45,41 +45,53 @@
             .drop(1).takeWhile { it < LOAD_TIME }.map { Operation(it, customer, route) }.toList()
     }
 
-    /** Returns the share of the operations of all customers but the largest that end within their target. */
-    private fun servedShareOfOthers(factorOfLargest: Double): Double {
-        val queue = AdmissionQueue(SLOTS, AdmissionPolicy(selectFlow = ::strictRankWithinTeamShares))
-        val events = PriorityQueue(compareBy<Event> { it.at })
-        val operations = sizes.indices.flatMap { arrivals(it, if (it == 0) factorOfLargest else 1.0) }
-        operations.forEach { events += Event(it.at, it, null) }
-        val running = HashMap<Ticket, Pair<Duration, Operation>>()
-        val waiting = HashMap<RequestId, Operation>()
-        var inTime = 0
+    /** A member whose slots are granted by an [AdmissionQueue]. */
+    private inner class Member(private val operations: List<Operation>) {
+        private val queue = AdmissionQueue(SLOTS, AdmissionPolicy(selectFlow = ::strictRankWithinTeamShares))
+        private val events = PriorityQueue(compareBy<Event> { it.at })
+        private val running = HashMap<Ticket, Pair<Duration, Operation>>()
+        private val waiting = HashMap<RequestId, Operation>()
 
-        fun start(ticket: Ticket, now: Duration) {
-            val operation = waiting.remove(ticket.item.id) ?: error("unknown item")
+        /** Operations that ended within their target. */
+        val inTime = ArrayList<Operation>()
+
+        fun play() {
+            operations.forEach { events += Event(it.at, it, null) }
+            while (events.isNotEmpty()) {
+                val event = events.poll()
+                event.operation?.let { offer(it) }
+                event.ended?.let { end(it, event.at) }
+            }
+        }
+
+        private fun offer(operation: Operation) {
+            val item = item(operation)
+            waiting[item.id] = operation
+            when (val admission = queue.offer(item, operation.at)) {
+                is Admission.Granted -> start(admission.ticket, operation.at)
+                is Admission.Queued -> Unit
+                is Admission.Refused -> waiting -= item.id
+            }
+        }
+
+        private fun start(ticket: Ticket, now: Duration) {
+            val operation = checkNotNull(waiting.remove(ticket.item.id))
             running[ticket] = now to operation
             events += Event(now + operation.route.work, null, ticket)
         }
 
-        while (events.isNotEmpty()) {
-            val event = events.poll()
-            val now = event.at
-            event.operation?.let { operation ->
-                val item = item(operation)
-                waiting[item.id] = operation
-                when (val admission = queue.offer(item, now)) {
-                    is Admission.Granted -> start(admission.ticket, now)
-                    is Admission.Queued -> Unit
-                    is Admission.Refused -> waiting -= item.id
-                }
-            }
-            event.ended?.let { ticket ->
-                val (startedAt, operation) = running.remove(ticket) ?: error("unknown ticket")
-                if (operation.customer != 0 && now - operation.at <= operation.route.target) inTime++
-                queue.release(ticket, now, now - startedAt).granted.forEach { start(it, now) }
-            }
+        private fun end(ticket: Ticket, now: Duration) {
+            val (startedAt, operation) = checkNotNull(running.remove(ticket))
+            if (now - operation.at <= operation.route.target) inTime += operation
+            queue.release(ticket, now, now - startedAt).granted.forEach { start(it, now) }
         }
-        return inTime.toDouble() / operations.count { it.customer != 0 }
+    }
+
+    /** Returns the share of the operations of all customers but the largest that end within their target. */
+    private fun servedShareOfOthers(factorOfLargest: Double): Double {
+        val operations = sizes.indices.flatMap { arrivals(it, if (it == 0) factorOfLargest else 1.0) }
+        val member = Member(operations).also { it.play() }
+        return member.inTime.count { it.customer != 0 }.toDouble() / operations.count { it.customer != 0 }
     }
 
     private var lastId = 0
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/pooling/CustomerConnectionsSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/pooling/CustomerConnectionsSpec.kt
@@ -21,11 +21,11 @@
         idle: List<CustomerName?> = emptyList(),
         opening: List<CustomerName?> = emptyList(),
         waiting: List<ConnectionDemand>,
-        open: Int = idle.size + opening.size,
+        busy: List<CustomerName?> = emptyList(),
         maximum: Int = 10,
         openings: Int = 4,
     ) = connections.nextStep(
-        ConnectionSituation(open, idle, opening, waiting),
+        ConnectionSituation(idle, busy, opening, waiting),
         ConnectionAllowance(maximum, openings, openingsPerCustomer = 2),
     )
 
@@ -117,12 +117,55 @@
 
         @Test
         fun `waits while no connection is idle`() {
-            expectThat(step(waiting = listOf(Statement(small)), open = 3, maximum = 3)).isEqualTo(ConnectionStep.Wait)
+            expectThat(
+                step(waiting = listOf(Statement(small)), busy = listOf(large, large, other), maximum = 3),
+            ).isEqualTo(ConnectionStep.Wait)
         }
 
         @Test
         fun `below the open connections, as the member's count grew, is not exceeded by an exchange`() {
-            expectThat(step(idle = listOf(other), waiting = listOf(Statement(small)), open = 5, maximum = 3))
+            expectThat(
+                step(
+                    idle = listOf(other),
+                    waiting = listOf(Statement(small)),
+                    busy = List(4) {
+                        large
+                    },
+                    maximum = 3,
+                ),
+            )
+                .isEqualTo(ConnectionStep.Replace(0, small))
+        }
+    }
+
+    @Nested
+    inner class `patient work of a customer with a busy connection` {
+        private val patient = Statement(large, isPatient = true)
+
+        /** Guards against second connections of large customers that take the only ones of small customers. */
+        @Test
+        fun `takes no connection from another customer`() {
+            expectThat(step(idle = listOf(other), busy = listOf(large), waiting = listOf(patient), maximum = 2))
+                .isEqualTo(ConnectionStep.Wait)
+        }
+
+        @Test
+        fun `opens one that the allowance has left`() {
+            expectThat(step(idle = listOf(other), busy = listOf(large), waiting = listOf(patient), maximum = 3))
+                .isEqualTo(ConnectionStep.Open(large))
+        }
+
+        @Test
+        fun `is served by as many busy connections as there is work`() {
+            val waiting = listOf(patient, patient)
+            expectThat(step(idle = listOf(other), busy = listOf(large), waiting = waiting, maximum = 2))
+                .isEqualTo(ConnectionStep.Replace(0, large))
+        }
+
+        @Test
+        fun `delays no other work`() {
+            val waiting = listOf(patient, Statement(small))
+            expectThat(step(idle = listOf(other), busy = listOf(large), waiting = waiting, maximum = 2))
                 .isEqualTo(ConnectionStep.Replace(0, small))
         }
     }
@@ -141,13 +184,15 @@
                 }
                 val idle = List(random.nextInt(5)) { names.random(random) }
                 val opening = List(random.nextInt(4)) { names.random(random) }
-                val open = idle.size + opening.size + random.nextInt(4)
-                val situation = ConnectionSituation(open, idle, opening, waiting)
+                val busy = List(random.nextInt(4)) { names.random(random) }
+                val situation = ConnectionSituation(idle, busy, opening, waiting)
                 val allowance = ConnectionAllowance(random.nextInt(12), random.nextInt(1, 5), 2)
                 val isAllowed = when (val step = connections.nextStep(situation, allowance)) {
-                    is ConnectionStep.Open -> open < allowance.connections && mayOpenFor(step.customer, situation)
+                    is ConnectionStep.Open ->
+                        situation.open < allowance.connections &&
+                            mayOpenFor(step.customer, situation)
                     is ConnectionStep.Replace ->
-                        open >= allowance.connections &&
+                        situation.open >= allowance.connections &&
                             Statement(idle[step.closed]) !in waiting &&
                             mayOpenFor(step.customer, situation)
                     is ConnectionStep.Wait -> true
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
@@ -7,6 +7,8 @@
 import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.proxy.event.Event
+import dev.kumquatknot.proxy.pool.BatchResult
+import dev.kumquatknot.proxy.pool.MemberPool
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
@@ -8,6 +8,7 @@
 import dev.kumquatknot.core.platform.PromotionAnswer
 import dev.kumquatknot.core.platform.PromotionOrder
 import dev.kumquatknot.proxy.event.Event
+import dev.kumquatknot.proxy.pool.MemberPool
 import java.util.concurrent.Executor
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
@@ -1,6 +1,8 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.interactive.MemberCommand
+import dev.kumquatknot.proxy.pool.BatchResult
+import dev.kumquatknot.proxy.pool.MemberPool
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.customer.CustomerDirectory
 import dev.kumquatknot.core.databasegroup.FreshnessProofs
 import dev.kumquatknot.core.databasegroup.PrimaryTracker
 import dev.kumquatknot.core.history.HistoryPoint
@@ -17,17 +18,25 @@
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.proxy.event.Event
+import dev.kumquatknot.proxy.pool.ConnectionBudget
+import dev.kumquatknot.proxy.pool.MemberPool
+import dev.kumquatknot.proxy.pool.PoolRole
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Connection pools for the members of one group, with the believed primary and the proofs of replica freshness. */
+/**
+ * Connection pools for the members of one group, with the believed primary and the proofs of replica freshness.
+ *
+ * @param role this VM's part in the use of a member.
+ */
 internal class GroupPools(
     val group: DatabaseName,
     private val environment: NodeEnvironment,
     private val isRemote: (DiscoveredMember) -> Boolean,
     private val connections: () -> ConnectionBudget,
     private val onPrimaryUnknown: (GroupPools) -> Unit,
+    private val role: (DiscoveredMember) -> PoolRole = { PoolRole.SHARED },
 ) {
     private val pools = LinkedHashMap<MemberName, MemberPool>()
     private val placement = ReadPlacement()
@@ -57,7 +66,7 @@
                 known.updateMember(member)
             } else {
                 known?.close()
-                pools[member.name] = MemberPool(member, environment, connections, ::recordReply).also { it.maintain() }
+                pools[member.name] = newPool(member).also { it.maintain() }
                 logMember(Event.MEMBER_DISCOVERED, member)
             }
         }
@@ -66,6 +75,13 @@
         belief.claim(members.singleOrNull { it.claimsPrimary }?.name)
     }
 
+    private fun newPool(member: DiscoveredMember) = MemberPool(member, environment, connections, ::recordReply) {
+        role(pools[member.name]?.member ?: member)
+    }
+
+    /** Closes idle connections of customers that are not in [customers]. */
+    fun updateCustomers(customers: CustomerDirectory) = pools.values.forEach { it.updateCustomers(customers) }
+
     /** Removes members that discovery has not listed for a while and maintains the other pools. */
     fun maintain() {
         val now = environment.now()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -12,6 +12,8 @@
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.event.EventLog
+import dev.kumquatknot.proxy.pool.ConnectionBudget
+import dev.kumquatknot.proxy.pool.PoolRole
 import kotlin.time.Duration
 
 /**
@@ -96,6 +98,9 @@
     /** Number of VMs that use the members, this one included; 0 while it is unknown. */
     public var fleetSize: Int = 0
 
+    /** This VM's part in the use of a member. */
+    internal var poolRole: (DiscoveredMember) -> PoolRole = { PoolRole.SHARED }
+
     /** Starts the periodic maintenance of pools and polling of members. */
     public fun start() {
         repeatEvery(environment.limits.maintenanceInterval) { groups.values.forEach { it.maintain() } }
@@ -109,6 +114,7 @@
         configuration = next
         next.connections.keys.forEach(::group)
         distributeMembers()
+        groups.values.forEach { it.updateCustomers(next.customers) }
         environment.events.log(
             Event.CONFIGURATION_ACCEPTED,
             "number" to next.number,
@@ -192,6 +198,7 @@
         isRemote = ::isRemote,
         connections = { ConnectionBudget(configuration.connections[name] ?: 0, fleetSize) },
         onPrimaryUnknown = { poller.poll(it, decidesFailovers) },
+        role = { poolRole(it) },
     )
 
     private fun distributeMembers() {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/LinkPreparation.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/LinkPreparation.kt
@@ -3,6 +3,9 @@
 import dev.kumquatknot.core.interactive.ConnectionState
 import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.core.interactive.StatementPlan
+import dev.kumquatknot.proxy.pool.BatchResult
+import dev.kumquatknot.proxy.pool.MemberPool
+import dev.kumquatknot.proxy.pool.PooledLink
 import kotlin.time.Duration
 
 /**
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/LocalTransaction.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/LocalTransaction.kt
@@ -12,6 +12,10 @@
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.core.interactive.StatementResult
 import dev.kumquatknot.core.interactive.TransactionState
+import dev.kumquatknot.proxy.pool.BatchResult
+import dev.kumquatknot.proxy.pool.MemberPool
+import dev.kumquatknot.proxy.pool.PoolRequest
+import dev.kumquatknot.proxy.pool.PooledLink
 import kotlin.time.Duration
 
 /**
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberSearch.kt
@@ -3,6 +3,7 @@
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.interactive.FailoverWaitPolicy
+import dev.kumquatknot.proxy.pool.MemberPool
 import kotlin.time.Duration
 
 /** Result of a [MemberSearch]. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/Ports.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/Ports.kt
@@ -1,59 +1,29 @@
 package dev.kumquatknot.proxy.interactive
 
-import dev.kumquatknot.core.customer.CustomerName
-import dev.kumquatknot.core.history.HistoryPoint
-import dev.kumquatknot.core.interactive.DiscoveredMember
-import dev.kumquatknot.core.interactive.MemberCommand
-import dev.kumquatknot.core.interactive.MemberReply
-import dev.kumquatknot.core.interactive.RejectionCode
 import dev.kumquatknot.core.interactive.SessionReply
-import kotlin.time.Duration
+
+// The pool package declares these types, as it must not depend on this one.
 
 /** Cancels a scheduled task; has no effect once the task has run. */
-public typealias Cancel = () -> Unit
+public typealias Cancel = dev.kumquatknot.proxy.pool.Cancel
 
 /** Runs a task on the node's event loop after a delay. */
-public typealias Schedule = (delay: Duration, task: () -> Unit) -> Cancel
+public typealias Schedule = dev.kumquatknot.proxy.pool.Schedule
 
 /** A connection to a member; used on the node's event loop only. */
-public interface MemberLink {
-    /** Sends [commands] together; each is answered by one [MemberLinkEvents.replied]. */
-    public fun send(commands: List<MemberCommand>)
-
-    /** Closes the connection, which ends whatever it is doing. */
-    public fun close()
-}
+public typealias MemberLink = dev.kumquatknot.proxy.pool.MemberLink
 
 /** Callbacks of a [MemberLink], called on the node's event loop. */
-public interface MemberLinkEvents {
-    /** The member accepted the connection; its log ends at [point]. */
-    public fun opened(point: HistoryPoint?)
+public typealias MemberLinkEvents = dev.kumquatknot.proxy.pool.MemberLinkEvents
 
-    /** The member answered the oldest pending command. */
-    public fun replied(reply: MemberReply)
+/** Opens a connection to a member for the statements of one customer. */
+public typealias OpenMemberLink = dev.kumquatknot.proxy.pool.OpenMemberLink
 
-    /** The connection has ended or could not be opened. Called once. */
-    public fun closed(end: LinkEnd)
-}
-
-/** How a connection to a member ended. */
-public sealed interface LinkEnd {
-    /** The member rejected the connection. */
-    public data class Rejected(val code: RejectionCode, val detail: String) : LinkEnd
-
-    /** Nothing listens at the member's address. */
-    public data class Refused(val detail: String) : LinkEnd
-
-    /** The connection was reset, closed or timed out. */
-    public data class Broken(val detail: String) : LinkEnd
-}
+/** Timeouts and limits of interactive sessions. */
+public typealias InteractiveLimits = dev.kumquatknot.proxy.pool.InteractiveLimits
 
-/**
- * Opens a connection to a member for the statements of one customer; without a customer, for callers who need no key
- * and for the proxy's own statements.
- */
-public typealias OpenMemberLink =
-    (member: DiscoveredMember, customer: CustomerName?, events: MemberLinkEvents) -> MemberLink
+/** Shared dependencies of the parts of an [InteractiveNode]. */
+internal typealias NodeEnvironment = dev.kumquatknot.proxy.pool.NodeEnvironment
 
 /** The caller's end of a session; used on the node's event loop only. */
 public interface SessionPeer {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/SingleStatement.kt
@@ -9,6 +9,11 @@
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.core.interactive.StatementResult
 import dev.kumquatknot.core.interactive.TransactionState
+import dev.kumquatknot.proxy.pool.BatchResult
+import dev.kumquatknot.proxy.pool.MemberPool
+import dev.kumquatknot.proxy.pool.PoolRequest
+import dev.kumquatknot.proxy.pool.PoolSlot
+import dev.kumquatknot.proxy.pool.PooledLink
 
 /** Outcome of a statement outside a transaction; [written] is the point of its commit, or null if it wrote nothing. */
 internal data class StatementOutcome(val reply: SessionReply, val written: HistoryPoint?, val facts: RoutingDetails)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/ConnectionBudget.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/ConnectionBudget.kt
@@ -1,4 +1,4 @@
-package dev.kumquatknot.proxy.interactive
+package dev.kumquatknot.proxy.pool
 
 import kotlin.math.ln
 import kotlin.time.Duration
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/CountRefresh.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/CountRefresh.kt
@@ -1,4 +1,4 @@
-package dev.kumquatknot.proxy.interactive
+package dev.kumquatknot.proxy.pool
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberPool.kt
@@ -1,80 +1,46 @@
-package dev.kumquatknot.proxy.interactive
-
-import dev.kumquatknot.core.admission.Admission
-import dev.kumquatknot.core.admission.AdmissionPolicy
-import dev.kumquatknot.core.admission.AdmissionQueue
-import dev.kumquatknot.core.admission.QueueChanges
-import dev.kumquatknot.core.admission.Ticket
-import dev.kumquatknot.core.admission.WorkItem
+package dev.kumquatknot.proxy.pool
+
+import dev.kumquatknot.core.customer.CustomerDirectory
 import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.core.interactive.MemberReply
 import dev.kumquatknot.core.interactive.RejectionCode
-import kotlin.math.roundToInt
+import dev.kumquatknot.core.pooling.ConnectionAllowance
+import dev.kumquatknot.core.pooling.ConnectionDemand
+import dev.kumquatknot.core.pooling.ConnectionSituation
+import dev.kumquatknot.core.pooling.ConnectionStep
+import dev.kumquatknot.core.pooling.CustomerConnections
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-
-/** Why a pool refused a request. The work did not run. */
-internal enum class PoolRefusal {
-    OVERLOADED,
-    NO_CONNECTION,
-    CLOSED,
-}
-
-/**
- * A request for a slot and a connection for the statements of [customer]. The pool calls either [granted] or [refused],
- * exactly once.
- */
-internal class PoolRequest(
-    val item: WorkItem,
-    val customer: CustomerName?,
-    val granted: (PooledLink, PoolSlot) -> Unit,
-    val refused: (PoolRefusal) -> Unit,
-)
-
-/** An occupied slot of a pool. Only the first call of [release] has an effect. */
-internal class PoolSlot(private val pool: MemberPool, private val ticket: Ticket, private var usedSince: Duration) {
-    private var ended = false
-
-    /** Restarts the measurement of the service time at [now], so that it excludes the wait for a connection. */
-    fun connected(now: Duration) {
-        usedSince = now
-    }
-
-    /** Releases the slot; [ran] is whether a statement ran, [answered] whether the member answered it. */
-    fun release(ran: Boolean, answered: Boolean) {
-        if (ended) return
-        ended = true
-        pool.releaseSlot(ticket, usedSince, ran, answered)
-    }
-}
 
 /**
  * This VM's connection pool for one member, with the admission queue for the member's slots.
  *
  * Several VMs use a member concurrently. Each admits as many statements as its share of the member's slots allows; the
- * member's own short queue balances the load of the VMs. The limit falls when the member becomes slow.
+ * member's own short queue balances the load of the VMs. The limit falls when the member becomes slow. A statement runs
+ * on a connection that was opened for its customer.
+ *
+ * @param role this VM's part in the use of the member, which may change.
  */
 internal class MemberPool(
     member: DiscoveredMember,
     private val environment: NodeEnvironment,
     private val budget: () -> ConnectionBudget,
     private val onReply: (MemberPool, MemberCommand, Duration, MemberReply) -> Unit,
+    private val role: () -> PoolRole = { PoolRole.SHARED },
 ) : LinkListener {
-    private val queue = AdmissionQueue(slotsOf(member), AdmissionPolicy())
-    private val queuedRequests = HashMap<Ticket, PoolRequest>()
-    private val links = ArrayList<PooledLink>()
-    private val idle = ArrayDeque<PooledLink>()
-    private val linkWaiters = ArrayDeque<LinkWaiter>()
-    private var opening = 0
-    private var connectionsOfOthers: Int? = null
-    private val countRefresh = CountRefresh()
+    private val limits = environment.limits
+    private val share = MemberShare(limits)
+    private val decisions = CustomerConnections()
+    private val admission = PoolAdmission(share.slots(role(), member.slots), environment::now, ::connect)
+    private val kept = KeptLinks(decisions)
+    private val waiters = LinkWaiters(environment, decisions)
+    private val opener = LinkOpener(environment, this)
+    private val count = MemberConnectionCount(limits.connectionReserve, environment::now)
+    private val linksOfCountRequests = HashSet<PooledLink>()
     private val useInterval = UseInterval()
-    private var nextOpeningAt = Duration.ZERO
-    private var fullSince: Duration? = null
-    private var refusedOpenings = 0
+    private var latestRole = role()
     private var closed = false
 
     /** The latest description of the member from discovery. */
@@ -92,36 +58,33 @@
     val health = MemberHealth()
 
     /** Shortest time in which a connection was opened, an estimate of the network distance. */
-    var distance: Duration = Duration.ZERO
-        private set
+    val distance: Duration get() = opener.distance
 
     /** Start time of the oldest opening that the member has not answered; null if there is none. */
-    val openingSince: Duration? get() = links.filter { it.openingTime == null }.minOfOrNull { it.startedAt }
+    val openingSince: Duration? get() = opener.openingSince
 
     /**
      * Whether the member has no connections to spare: then a VM keeps one only while it needs it, so that all VMs can
-     * use the member by turns.
+     * use the member by turns. A home VM has connections of its own.
      */
-    val isScarce: Boolean get() = budget().isShort || wasFullRecently
-
-    private val wasFullRecently: Boolean
-        get() = fullSince?.let { environment.now() - it < SCARCITY_PERIOD } ?: false
-
-    /** Whether a poll is worth a connection: of a scarce member, only one that this VM has anyway. */
-    val mayPoll: Boolean get() = !isScarce || idle.isNotEmpty()
+    val isScarce: Boolean get() = (role() != PoolRole.HOME && budget().isShort) || count.wasFullRecently
+
+    /** Whether a poll is worth a connection: of a scarce member or as a guest, only one that this VM has anyway. */
+    val mayPoll: Boolean
+        get() = when (role()) {
+            PoolRole.SHARED -> !isScarce || kept.idle.isNotEmpty()
+            PoolRole.HOME -> true
+            PoolRole.GUEST -> kept.idle.isNotEmpty()
+        }
 
     /** Whether this VM has an open connection to the member, idle or in use. */
-    val isConnected: Boolean get() = links.any { it.openingTime != null }
+    val isConnected: Boolean get() = kept.all.any { it.openingTime != null }
 
     /** Observed time that the member takes for a statement. */
-    val serviceTime: Duration get() = queue.load().serviceTime
+    val serviceTime: Duration get() = admission.serviceTime
 
     /** Estimated time that a new request would wait for a slot. */
-    fun expectedWait(): Duration {
-        val load = queue.load()
-        val ahead = load.queued.values.sum() + load.inFlight - load.limit + 1
-        return if (ahead <= 0) Duration.ZERO else load.serviceTime * ahead / load.limit
-    }
+    fun expectedWait(): Duration = admission.expectedWait()
 
     fun updateMember(next: DiscoveredMember) {
         if (next.leaving && !member.leaving) leavingSince = environment.now()
@@ -130,32 +93,31 @@
         missingSince = null
     }
 
+    /** Closes connections of customers that are not in [customers] as soon as they are idle. */
+    fun updateCustomers(customers: CustomerDirectory) = kept.updateCustomers(customers)
+
     /** Queues [request] for a slot, or grants or refuses it at once. */
     fun submit(request: PoolRequest) {
         if (closed) return request.refused(PoolRefusal.CLOSED)
-        when (val admission = queue.offer(request.item, environment.now())) {
-            is Admission.Granted -> connect(request, admission.ticket)
-            is Admission.Queued -> queuedRequests[admission.ticket] = request
-            is Admission.Refused -> request.refused(PoolRefusal.OVERLOADED)
-        }
+        adjustSlots()
+        admission.submit(request)
     }
 
-    fun releaseSlot(ticket: Ticket, usedSince: Duration, ran: Boolean, answered: Boolean) {
-        val now = environment.now()
-        val held = now - usedSince
-        apply(if (ran) queue.release(ticket, now, held, answered) else queue.abandon(ticket, now, held))
+    /** Drops [request] if it waits for a slot or a connection: it is then neither granted nor refused. */
+    fun cancel(request: PoolRequest) {
+        if (!admission.cancel(request) && waiters.cancel(request)) adjustSlots()
     }
 
     /** Returns [link], which must have no open transaction, for reuse. */
     fun releaseLink(link: PooledLink) {
         if (link.isClosed) return
-        if (closed) return link.close()
-        val waiter = nextWaiter(link)
-        if (waiter != null) {
-            waiter.complete(link)
-        } else {
-            idle.addLast(link)
+        when {
+            closed || kept.isObsolete(link) -> link.close()
+            waiters.serve(link) -> return
+            else -> kept.keep(link)
         }
+        // The idle or closed connection makes room for one of another customer.
+        if (waiters.isNotEmpty()) openMore()
     }
 
     /**
@@ -164,63 +126,42 @@
      */
     fun acquireLink(done: (PooledLink?) -> Unit) {
         useInterval.record(environment.now())
-        val link = pollIdle { true }
+        val link = kept.takeForPoll()
         if (link != null) return done(link)
-        linkWaiters.addFirst(
-            LinkWaiter(null, accepts = {
-                true
-            }, done).also { startTimer(it, environment.limits.reportTimeout) },
-        )
+        waiters.addPoll(limits.reportTimeout, done)
         openMore()
     }
 
     /** Refuses requests that waited too long and closes surplus idle connections. */
     fun maintain() {
-        val now = environment.now()
-        apply(queue.expire(now))
-        val limits = environment.limits
-        val surplus = idle.size - if (isScarce) 0 else limits.maximumIdleConnections
-        if (surplus > 0) idle.filter { now - it.idleSince > idleCloseDelay() }.take(surplus).forEach { it.close() }
-        val isUnconnected = links.isEmpty() && opening == 0
-        val keepsOne = leavingSince == null && !isScarce
-        if (linkWaiters.isNotEmpty() || (isUnconnected && keepsOne)) openMore()
-    }
-
-    private fun idleCloseDelay(): Duration = when {
-        !isScarce -> environment.limits.idleCloseDelay
-        wasFullRecently -> environment.limits.scarceIdleCloseDelay
-        else ->
-            budget().keepTime(useInterval.average)
-                .coerceIn(environment.limits.scarceIdleCloseDelay, environment.limits.maximumScarceKeepTime)
+        adjustSlots()
+        admission.expire()
+        closeSurplus()
+        val keepsOne = leavingSince == null && !isScarce && role() != PoolRole.GUEST
+        if (waiters.isNotEmpty() || (kept.size == 0 && keepsOne)) openMore(forItself = keepsOne)
     }
 
     /** Updates the number of connections of other VMs from the member's total of [connections]. */
     fun updateConnectionCount(connections: Int) {
-        connectionsOfOthers = (connections - links.size).coerceAtLeast(0)
-        val isFull = freeConnections() <= 0
-        countRefresh.recordCount(environment.now(), isFull)
-        if (isFull) fullSince = environment.now()
-        if (linkWaiters.isNotEmpty()) openMore()
+        count.record(connections, kept.size, budget().maximum)
+        if (waiters.isNotEmpty()) openMore()
     }
 
     /** Refuses all queued requests and closes all connections that are not busy. */
     fun close() {
         if (closed) return
         closed = true
-        val refused = queuedRequests.values.toList()
-        queuedRequests.clear()
-        refused.forEach { it.refused(PoolRefusal.CLOSED) }
-        linkWaiters.toList().also { linkWaiters.clear() }.forEach { it.complete(null) }
-        links.toList().filter { !it.isBusy }.forEach { it.close() }
+        admission.close()
+        waiters.failAll()
+        kept.all.filter { !it.isBusy }.forEach { it.close() }
     }
 
     override fun linkOpened(link: PooledLink) {
-        opening--
-        refusedOpenings = 0
-        link.openingTime?.let { if (distance == Duration.ZERO || it < distance) distance = it }
+        opener.recordOpened(link)
         health.recordAnswer(environment.now())
-        if (connectionsOfOthers == null) requestConnectionCount(link) else releaseLink(link)
-        if (linkWaiters.isNotEmpty()) openMore()
+        if (count.isKnown) releaseLink(link) else requestConnectionCount(link)
+        if (waiters.isNotEmpty()) openMore()
+        adjustSlots()
     }
 
     override fun linkReplied(link: PooledLink, command: MemberCommand, sentAt: Duration, reply: MemberReply) {
@@ -230,159 +171,179 @@
     }
 
     override fun linkEnded(link: PooledLink, end: LinkEnd, opened: Boolean) {
-        links.remove(link)
-        idle.remove(link)
-        if (!opened) opening--
-        val now = environment.now()
-        val full = end is LinkEnd.Rejected && end.code == RejectionCode.TOO_MANY_CONNECTIONS
-        if (full) return recordRefusedOpening(now)
-        if (!opened) {
-            health.recordFailure(now, refused = end is LinkEnd.Refused)
-            nextOpeningAt = now + FAILED_OPENING_DELAY
+        kept.remove(link)
+        opener.recordEnd(link)
+        val isFull = end is LinkEnd.Rejected && end.code == RejectionCode.TOO_MANY_CONNECTIONS
+        if (isFull) {
+            recordFullMember()
+        } else if (!opened) {
+            health.recordFailure(environment.now(), refused = end is LinkEnd.Refused)
+            opener.recordFailure()
+            if (opener.opening.isEmpty()) waiters.failAll()
         }
-        if (!opened && opening == 0) linkWaiters.toList().also { linkWaiters.clear() }.forEach { it.complete(null) }
+        adjustSlots()
     }
 
     /** Tries again soon while work waits: other VMs close connections to a full member whenever they are idle. */
-    private fun recordRefusedOpening(now: Duration) {
-        fullSince = now
-        refusedOpenings = (refusedOpenings + 1).coerceAtMost(MAXIMUM_REFUSAL_STEPS)
-        val delay = REFUSED_OPENING_DELAY * refusedOpenings
-        nextOpeningAt = now + delay
-        if (linkWaiters.isNotEmpty()) environment.schedule(delay) { if (linkWaiters.isNotEmpty()) openMore() }
+    private fun recordFullMember() {
+        count.recordFull()
+        val delay = opener.recordFull()
+        if (waiters.isEmpty()) return
+        decisions.leastNeeded(situation())?.let { kept.idle[it].close() }
+        environment.schedule(delay) { if (waiters.isNotEmpty()) openMore() }
     }
 
     /** Requests the member's connection count before [link] is lent, as a transaction may hold it for long. */
     private fun requestConnectionCount(link: PooledLink) {
-        link.run(listOf(MemberCommand.Report), environment.limits.reportTimeout) { result ->
+        // The work for which the connection was opened gets it soon, so none is opened in its place.
+        if (link.customer != null) linksOfCountRequests += link
+        link.run(listOf(MemberCommand.Report), limits.reportTimeout) { result ->
+            linksOfCountRequests -= link
             if (result !is BatchResult.Answered) return@run
             releaseLink(link)
-            if (linkWaiters.isNotEmpty()) openMore()
+            if (waiters.isNotEmpty()) openMore()
         }
     }
 
-    private fun slotsOf(member: DiscoveredMember): Int =
-        (member.slots * environment.limits.slotShare).roundToInt().coerceAtLeast(1)
-
-    private fun connect(request: PoolRequest, ticket: Ticket) {
+    private fun connect(request: PoolRequest, slot: PoolSlot) {
         useInterval.record(environment.now())
-        val slot = PoolSlot(this, ticket, environment.now())
-        val customer = request.customer
-        val link = pollIdle { it.customer == customer }
+        val link = kept.takeForStatement(request.customer)
         if (link != null) return request.granted(link, slot)
-        val waiter = LinkWaiter(customer, accepts = { it.customer == customer }) { found ->
-            if (found != null) {
-                slot.connected(environment.now())
-                request.granted(found, slot)
-            } else {
-                slot.release(ran = false, answered = true)
-                request.refused(PoolRefusal.NO_CONNECTION)
-            }
+        if (isUnreachable(request.customer, slot)) return refuse(request, slot)
+        waiters.addStatement(request, slot, connectionWait(request, slot)) { found ->
+            if (found == null) return@addStatement refuse(request, slot)
+            slot.connected(environment.now())
+            request.granted(found, slot)
         }
-        linkWaiters.addLast(waiter)
-        startTimer(waiter, maxOf(environment.limits.connectionWait, request.item.target * CONNECTION_WAIT_SHARE))
         openMore()
     }
 
-    private fun pollIdle(accepts: (PooledLink) -> Boolean): PooledLink? {
-        idle.removeAll { it.isClosed }
-        return idle.lastOrNull(accepts)?.also { idle.remove(it) }
+    private fun refuse(request: PoolRequest, slot: PoolSlot) {
+        slot.release(ran = false, answered = true)
+        request.refused(PoolRefusal.NO_CONNECTION)
     }
 
-    private fun nextWaiter(link: PooledLink): LinkWaiter? {
-        linkWaiters.removeAll { it.ended }
-        return linkWaiters.firstOrNull { it.accepts(link) }?.also { linkWaiters.remove(it) }
-    }
+    /** Whether no connection for [customer] can open early enough for the statement that holds [slot]. */
+    private fun isUnreachable(customer: CustomerName?, slot: PoolSlot): Boolean =
+        !kept.hasOne(customer) && opener.earliestEnd > slot.latestStart
 
-    private fun startTimer(waiter: LinkWaiter, after: Duration) {
-        waiter.timer = environment.schedule(after) {
-            linkWaiters.remove(waiter)
-            waiter.complete(null)
-        }
+    private fun connectionWait(request: PoolRequest, slot: PoolSlot): Duration {
+        val usual = maxOf(limits.connectionWait, request.item.target * CONNECTION_WAIT_SHARE)
+        return minOf(usual, slot.latestStart - environment.now()).coerceAtLeast(Duration.ZERO)
     }
 
-    private fun openMore() {
-        val wanted = linkWaiters.size.coerceIn(1, environment.limits.maximumConcurrentOpenings)
-        while (!closed && opening < wanted && (mayOpen() || replaceIdle())) {
-            val customer = linkWaiters.getOrNull(opening)?.customer
-            opening++
-            val link = PooledLink(member, customer, environment, this)
-            links += link
-            link.open(environment.openLink, environment.limits.openTimeout)
+    /** Opens connections for waiting work, and one [forItself] if there is none. */
+    private fun openMore(forItself: Boolean = false) {
+        while (!closed && !opener.isDelayed) {
+            val situation = situation(forItself)
+            when (val step = decisions.nextStep(situation, allowance())) {
+                is ConnectionStep.Open -> open(step.customer)
+                is ConnectionStep.Replace -> {
+                    kept.idle[step.closed].close()
+                    open(step.customer)
+                }
+                is ConnectionStep.Wait -> break
+            }
         }
-        val isBlockedByCount = links.isNotEmpty() && opening == 0 && freeConnections() <= 0
-        if (isBlockedByCount && countRefresh.begin(environment.now())) refreshConnectionCount()
+        refreshConnectionCount()
+        adjustSlots()
     }
 
-    /** Requests the member's connection count again, as other VMs may have closed theirs since the last one. */
-    private fun refreshConnectionCount() = acquireLink { link ->
-        if (link == null) {
-            countRefresh.end()
-            return@acquireLink
-        }
-        link.run(listOf(MemberCommand.Report), environment.limits.reportTimeout) { result ->
-            countRefresh.end()
-            if (result is BatchResult.Answered) releaseLink(link)
-        }
+    private fun open(customer: CustomerName?) {
+        val link = opener.create(member, customer)
+        kept.add(link)
+        opener.start(link)
     }
 
-    /** Closes the idle connection that was unused for longest if work of another customer waits for one. */
-    private fun replaceIdle(): Boolean {
-        if (linkWaiters.isEmpty() || environment.now() < nextOpeningAt) return false
-        val replaced = idle.firstOrNull() ?: return false
-        replaced.close()
-        return true
+    private fun situation(forItself: Boolean = false): ConnectionSituation {
+        // A statement that waits for a busy connection holds its slot unused, so it waits only while others are free.
+        val hasFreeSlots = admission.freeSlots > 0
+        val work = waiters.demands(
+            // Polls wait for one of the customers' connections, which return soon unless transactions hold them all.
+            opensForPoll = { waited -> !kept.hasCustomers || waited >= POLL_OPENING_DELAY },
+            isPatient = { waited -> hasFreeSlots && waited < OWN_CONNECTION_WAIT },
+        )
+        return ConnectionSituation(
+            idle = kept.idle.map { it.customer },
+            busy = (kept.busy - linksOfCountRequests).map { it.customer },
+            opening = (opener.opening + linksOfCountRequests).map { it.customer },
+            waiting = if (forItself && kept.size == 0) work + ConnectionDemand.Poll(mayOpen = true) else work,
+        )
     }
 
-    private fun mayOpen(): Boolean {
+    private fun allowance(): ConnectionAllowance {
         val maximum = budget().maximum
-        val share = (maximum * environment.limits.connectionShare).toInt().coerceAtLeast(1)
-        val isAllowed = links.isEmpty() || freeConnections() > 0
-        return links.size < share && isAllowed && environment.now() >= nextOpeningAt
+        val byCount = if (kept.size == 0) 1 else kept.size + count.free(kept.size, maximum)
+        return ConnectionAllowance(
+            connections = minOf(share.connections(role(), maximum), byCount),
+            // The work for which a connection opens holds a slot already.
+            openings = maxOf(limits.maximumConcurrentOpenings, admission.freeSlots + waiters.statements),
+            openingsPerCustomer = limits.maximumConcurrentOpenings,
+        )
     }
 
-    /** Connections that the member accepts beyond those of the last count and the reserve of VMs that have none. */
-    private fun freeConnections(): Int {
-        // Until the member has reported its count, assume that other VMs hold all but the one that each VM may have.
-        val connectionsOfOtherVms = connectionsOfOthers ?: budget().maximum
-        return budget().maximum - environment.limits.connectionReserve - connectionsOfOtherVms - links.size
+    /** Requests the member's connection count again, as other VMs may have opened or closed some since the last one. */
+    private fun refreshConnectionCount() {
+        val isOpening = opener.opening.isNotEmpty() || linksOfCountRequests.isNotEmpty()
+        val isBlockedByCount = !isOpening && count.free(kept.size, budget().maximum) <= 0
+        val isOutdated = role() != PoolRole.SHARED && count.isOld
+        val isNeeded = kept.size > 0 && (isBlockedByCount || isOutdated)
+        if (!isNeeded || !count.beginRequest()) return
+        acquireLink { link ->
+            if (link == null) return@acquireLink count.endRequest()
+            link.run(listOf(MemberCommand.Report), limits.reportTimeout) { result ->
+                count.endRequest()
+                if (result is BatchResult.Answered) releaseLink(link)
+            }
+        }
     }
 
-    private fun apply(changes: QueueChanges) {
-        changes.expired.forEach { queuedRequests.remove(it.ticket)?.refused?.invoke(PoolRefusal.OVERLOADED) }
-        changes.granted.forEach { ticket -> queuedRequests.remove(ticket)?.let { connect(it, ticket) } }
+    /** Applies the role, and in roles that use known shares of the slots, counts handshakes as used slots. */
+    private fun adjustSlots() {
+        if (closed) return
+        val current = role()
+        val withoutRequest = opener.opening.size - waiters.statements
+        val reserved = if (current == PoolRole.SHARED) 0 else withoutRequest.coerceAtLeast(0)
+        admission.adjust(share.slots(current, member.slots), reserved)
     }
 
-    private class LinkWaiter(
-        val customer: CustomerName?,
-        val accepts: (PooledLink) -> Boolean,
-        private val done: (PooledLink?) -> Unit,
-    ) {
-        var timer: Cancel? = null
-        var ended = false
-
-        fun complete(link: PooledLink?) {
-            if (ended) return
-            ended = true
-            timer?.invoke()
-            done(link)
-        }
+    private fun closeSurplus() {
+        val current = role()
+        val hasChanged = current != latestRole
+        latestRole = current
+        if (hasChanged) kept.shrinkTo(share.connections(current, budget().maximum))
+        if (current != PoolRole.SHARED && count.isKnown) kept.shrinkTo(allowance().connections)
+        val closable = if (keepsCustomers(current)) kept.idle.filter { it.customer == null } else kept.idle
+        val keptIdle = if (isScarce || current == PoolRole.GUEST) 0 else limits.maximumIdleConnections
+        val surplus = closable.size - keptIdle
+        if (surplus <= 0) return
+        val now = environment.now()
+        val delay = idleCloseDelay(current)
+        closable.filter { now - it.idleSince > delay }.take(surplus).forEach { it.close() }
+    }
+
+    private fun keepsCustomers(current: PoolRole): Boolean = when (current) {
+        PoolRole.SHARED -> !isScarce
+        PoolRole.HOME -> true
+        PoolRole.GUEST -> false
+    }
+
+    private fun idleCloseDelay(current: PoolRole): Duration = when {
+        count.wasFullRecently -> limits.scarceIdleCloseDelay
+        !isScarce || current == PoolRole.GUEST -> limits.idleCloseDelay
+        else -> budget().keepTime(
+            useInterval.average,
+        ).coerceIn(limits.scarceIdleCloseDelay, limits.maximumScarceKeepTime)
     }
 
     private companion object {
         /** Share of the target that admitted work may wait for a connection, if that is longer than the usual wait. */
         const val CONNECTION_WAIT_SHARE = 0.4
 
-        /** Delay after a rejection for too many connections; it grows with each further one. */
-        val REFUSED_OPENING_DELAY = 60.milliseconds
-
-        /** Limits the delay after repeated rejections to a fraction of the time that work waits for a connection. */
-        const val MAXIMUM_REFUSAL_STEPS = 4
-
-        /** Time after a member was full for which connections to it count as scarce. */
-        val SCARCITY_PERIOD = 5.seconds
+        /** Time after which a poll gets a connection of its own; longer than most statements use a customer's one. */
+        val POLL_OPENING_DELAY = 100.milliseconds
 
-        /** Delay after a failed opening; limits attempts at a member that is down to a few a second. */
-        val FAILED_OPENING_DELAY = MemberHealth.RETRY_DELAY
+        /** Time for which a statement waits for a busy connection of its customer; most statements end within it. */
+        val OWN_CONNECTION_WAIT = 30.milliseconds
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/NodeEnvironment.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/NodeEnvironment.kt
@@ -1,11 +1,11 @@
-package dev.kumquatknot.proxy.interactive
+package dev.kumquatknot.proxy.pool
 
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.EventLog
 import kotlin.time.Duration
 
 /**
- * Shared dependencies of the parts of an [InteractiveNode]. All run on one event loop, so their state needs no lock.
+ * Shared dependencies of the parts of a VM. All run on one event loop, so their state needs no lock.
  *
  * @property schedule runs a task on that loop.
  * @property openLink opens connections to members.
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/UseInterval.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/UseInterval.kt
@@ -1,4 +1,4 @@
-package dev.kumquatknot.proxy.interactive
+package dev.kumquatknot.proxy.pool
 
 import dev.kumquatknot.core.admission.DurationAverage
 import kotlin.time.Duration
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/FakeGroup.kt
@@ -15,6 +15,8 @@
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.core.interactive.StatementResult
 import dev.kumquatknot.core.interactive.TransactionState
+import dev.kumquatknot.proxy.pool.LinkEnd
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Execution of one caller statement at a member, with the session values and the connection it ran on. */
@@ -94,6 +96,15 @@
     /** Time that opening a connection takes. */
     var openingTime = LATENCY
 
+    /** Number of slots, which discovery tells; they limit what runs at the same time only with [busySlots]. */
+    var slots = 3
+
+    /** If given, openings occupy a slot for [openingTime], and commands for the time that [workOf] returns. */
+    var busySlots: FakeSlots? = null
+
+    /** Time for which a command occupies one of [busySlots]. */
+    var workOf: (MemberCommand) -> Duration = { Duration.ZERO }
+
     /** Attempts to open a connection so far. */
     var opened = 0
 
@@ -123,7 +134,7 @@
         FakeGroup.NAME,
         "127.0.0.1:1",
         DataCentre(name),
-        slots = 3,
+        slots,
         leaving,
         claimsPrimary = leads,
     )
@@ -151,11 +162,18 @@
                 return
             }
             open++
-            loop.schedule(openingTime) { if (!closed && !unreachable) events.opened(end) }
+            occupySlot(openingTime) { if (!closed && !unreachable) events.opened(end) }
         }
 
         override fun send(commands: List<MemberCommand>) {
-            loop.schedule(LATENCY) { commands.forEach(::answer) }
+            loop.schedule(LATENCY) {
+                val work = commands.fold(Duration.ZERO) { sum, command -> sum + workOf(command) }
+                if (work.isPositive()) occupySlot(work) { commands.forEach(::answer) } else commands.forEach(::answer)
+            }
+        }
+
+        private fun occupySlot(time: Duration, done: () -> Unit) {
+            busySlots?.run(time, done) ?: loop.schedule(time, done)
         }
 
         override fun close() {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ConnectionBudgetSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/pool/ConnectionBudgetSpec.kt
@@ -1,4 +1,4 @@
-package dev.kumquatknot.proxy.interactive
+package dev.kumquatknot.proxy.pool
 
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
