--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -2,6 +2,7 @@
 
 import dev.kumquatknot.core.balancing.MemberChoice
 import dev.kumquatknot.core.balancing.MemberLoad
+import dev.kumquatknot.core.customer.CustomerDirectory
 import dev.kumquatknot.core.databasegroup.FreshnessProofs
 import dev.kumquatknot.core.databasegroup.PrimaryTracker
 import dev.kumquatknot.core.history.HistoryPoint
@@ -21,6 +22,9 @@
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.fleet.LoadReportPayload
+import dev.kumquatknot.proxy.pool.ConnectionBudget
+import dev.kumquatknot.proxy.pool.MemberPool
+import dev.kumquatknot.proxy.pool.PoolRole
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,6 +43,7 @@
  * Connection pools for the members of one group, with the believed primary and the proofs of replica freshness.
  *
  * @param isBalanced whether reads are placed by estimates of the members' load.
+ * @param role this VM's part in the use of a member.
  */
 internal class GroupPools(
     val group: DatabaseName,
@@ -47,6 +52,7 @@
     private val connections: () -> ConnectionBudget,
     private val listener: GroupListener,
     private val isBalanced: () -> Boolean = { false },
+    private val role: (DiscoveredMember) -> PoolRole = { PoolRole.SHARED },
 ) {
     private val pools = LinkedHashMap<MemberName, MemberPool>()
     private val placement = ReadPlacement()
@@ -82,7 +88,7 @@
             } else {
                 known?.close()
                 loads.remove(member.name)
-                pools[member.name] = MemberPool(member, environment, connections, ::recordReply).also { it.maintain() }
+                pools[member.name] = newPool(member).also { it.maintain() }
                 logMember(Event.MEMBER_DISCOVERED, member)
             }
         }
@@ -130,6 +136,13 @@
         if (needsMaintenance || environment.now() - maintainedAt >= RestingTimer.LONGEST_REST) maintain()
     }
 
+    private fun newPool(member: DiscoveredMember) = MemberPool(member, environment, connections, ::recordReply) {
+        role(pools[member.name]?.member ?: member)
+    }
+
+    /** Closes idle connections of customers that are not in [customers]. */
+    fun updateCustomers(customers: CustomerDirectory) = pools.values.forEach { it.updateCustomers(customers) }
+
     /** Removes members that discovery has not listed for a while and maintains the other pools. */
     private fun maintain() {
         val now = environment.now()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -24,6 +24,8 @@
 import dev.kumquatknot.proxy.fleet.FleetLinks
 import dev.kumquatknot.proxy.fleet.LoadReportPayload
 import dev.kumquatknot.proxy.fleet.PeerNetwork
+import dev.kumquatknot.proxy.pool.ConnectionBudget
+import dev.kumquatknot.proxy.pool.PoolRole
 import kotlin.time.Duration
 
 /**
@@ -153,6 +155,13 @@
     public fun isHomeVm(group: DatabaseName, dataCentre: DataCentre): Boolean =
         !configuration.customers.isEmpty && homes.isHome(group.value, dataCentre, environment.now())
 
+    /** This VM's part in the use of [member]; without customers, all VMs use it alike. */
+    private fun poolRole(member: DiscoveredMember): PoolRole = when {
+        configuration.customers.isEmpty -> PoolRole.SHARED
+        isHomeVm(member.group, member.dataCentre) -> PoolRole.HOME
+        else -> PoolRole.GUEST
+    }
+
     /** Whether this VM polls the members of [group] also while it does not use them. */
     private fun isHomeOfAnyRegion(group: DatabaseName): Boolean =
         configuration.customers.isEmpty || place.regions.keys.any { homes.isHome(group.value, it, environment.now()) }
@@ -196,6 +205,7 @@
         next.connections.keys.forEach(::group)
         distributeMembers()
         wakeTimers()
+        groups.values.forEach { it.updateCustomers(next.customers) }
         environment.events.log(
             Event.CONFIGURATION_ACCEPTED,
             "number" to next.number,
@@ -288,6 +298,7 @@
             }
         },
         isBalanced = { isBalanced(connectionBudget(name)) },
+        role = ::poolRole,
     )
 
     private fun wakeTimers() {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingVm.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingVm.kt
@@ -19,7 +19,6 @@
 import dev.kumquatknot.proxy.event.EventLog
 import dev.kumquatknot.proxy.interactive.CallerAdmission
 import dev.kumquatknot.proxy.interactive.Cancel
-import dev.kumquatknot.proxy.interactive.ConnectionBudget
 import dev.kumquatknot.proxy.interactive.FakeGroup
 import dev.kumquatknot.proxy.interactive.GroupListener
 import dev.kumquatknot.proxy.interactive.GroupPoller
@@ -37,6 +36,7 @@
 import dev.kumquatknot.proxy.interactive.StatementCall
 import dev.kumquatknot.proxy.interactive.StatementOutcome
 import dev.kumquatknot.proxy.interactive.VirtualLoop
+import dev.kumquatknot.proxy.pool.ConnectionBudget
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/CancelledStatementSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/CancelledStatementSpec.kt
@@ -14,6 +14,7 @@
 import dev.kumquatknot.core.interactive.TransactionState
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.proxy.event.EventLog
+import dev.kumquatknot.proxy.pool.ConnectionBudget
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
