--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/CustomerTokens.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/CustomerTokens.kt
@@ -121,6 +121,7 @@
 }
 
 /**
- * An operation that waits for a token [until] a time; [decide] gets null, or the time after which its caller may return.
+ * An operation that waits for a token [until] a time; [decide] gets null, or the time after which its caller may come
+ * back.
  */
 internal class WaitingOperation(val until: Duration, val decide: (Duration?) -> Unit)
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/Delegations.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/Delegations.kt
@@ -41,8 +41,8 @@
     public fun isEntitled(now: Duration): Boolean = now >= entitledFrom
 
     /**
-     * Counts the thirds that stay directed to [limiter] as delegated, as a report with an echo is sent now; returns their
-     * number.
+     * Counts the thirds that stay directed to [limiter] as delegated, as a report with an echo is sent now; returns
+     * their number.
      */
     public fun delegate(now: Duration, limiter: VmName): Int {
         if (!isEntitled(now)) return 0
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/LimitTimes.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/LimitTimes.kt
@@ -6,7 +6,7 @@
 
 /** Intervals of the exchange between VMs and limiters. */
 internal object LimitTimes {
-    /** Interval of reports to each limiter. Of three reports in a row, one may get lost without a gap of the delegation. */
+    /** Interval of reports to each limiter; one of them may get lost without a gap of the delegation. */
     val REPORT_INTERVAL: Duration = 600.milliseconds
 
     /** Age of a stamp up to which it is echoed; an older one would be a delegation of less than half a second. */
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitBoundSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitBoundSpec.kt
@@ -13,9 +13,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Guards against more operations of a customer in a window than its limit allows, while messages are lost or late, links
- * work one way only, VMs freeze, die, start again and are added, and views of the fleet disagree. A longer search runs
- * with the system property `limits.seeds`.
+ * Guards against more operations of a customer in a window than its limit allows, while messages are lost or late,
+ * links work one way only, VMs freeze, die, start again and are added, and views of the fleet disagree. A longer search
+ * runs with the system property `limits.seeds`.
  */
 class LimitBoundSpec {
     @Test
@@ -60,34 +60,53 @@
             simulation.advance(TIME)
         }
 
-        /** Quiet times, in which the buckets fill, are followed by seven times the usual load and a sudden burst. */
+        /** Quiet times, in which the buckets fill, are followed by up to seven times the usual load. */
         private fun changeLoad(customer: CustomerName) {
-            val limit = LIMITS.getValue(customer)
-            load[customer] = limit.operationsPerSecond / 1.6 * listOf(0.0, 0.3, 1.0, 7.0, 7.0).random(random)
-            if (random.nextBoolean()) {
-                repeat(simulation.budget.bound(limit).toInt() / 2) { alive().random(random).submit(customer) }
-            }
+            val usual = LIMITS.getValue(customer).operationsPerSecond / 1.6
+            load[customer] = usual * listOf(0.0, 0.3, 1.0, 7.0, 7.0).random(random)
             simulation.after(12.seconds * random.nextDouble()) { changeLoad(customer) }
         }
 
         private fun alive() = simulation.vms.filter { it.isAlive }
 
+        private val faults = listOf<(Duration) -> Unit>(
+            { time -> repeat(random.nextInt(1, 4)) { simulation.vms.random(random).freeze(time) } },
+            { restart(alive().random(random), 1.seconds * random.nextDouble()) },
+            { time -> restart(alive().first(), time) },
+            { time -> alive().first().freeze(time) },
+            { time -> cut(alive().random(random), time, bothWays = random.nextBoolean()) },
+            { alive().shuffled(random).take(size / 3).forEach { restart(it, 1.seconds * random.nextDouble()) } },
+            { time -> isolate(time) },
+            { simulation.vms.forEach(::disturbViews) },
+            { exchangeLimiters() },
+            { burst() },
+            { if (simulation.vms.size < size + size / 30) disturbViews(simulation.add()) },
+        )
+
         private fun fault() {
-            val time = 8.seconds * random.nextDouble()
-            when (random.nextInt(9)) {
-                0 -> repeat(random.nextInt(1, 4)) { simulation.vms.random(random).freeze(time) }
-                1 -> restart(alive().random(random), 1.seconds * random.nextDouble())
-                2 -> alive().firstOrNull()?.let { restart(it, time) }
-                3 -> alive().firstOrNull()?.freeze(time)
-                4 -> cut(alive().random(random), time, bothWays = random.nextBoolean())
-                5 -> alive().shuffled(random).take(size / 3).forEach { restart(it, 1.seconds * random.nextDouble()) }
-                6 -> isolate(time)
-                7 -> simulation.vms.forEach(::disturbViews)
-                8 -> if (simulation.vms.size < size + size / 30) disturbViews(simulation.add())
-            }
+            faults.random(random)(8.seconds * random.nextDouble())
             simulation.after(pause * random.nextDouble()) { fault() }
         }
 
+        /** Lets two halves of the fleet see two sets of limiters, which they exchange under a high load. */
+        private fun exchangeLimiters() {
+            val sets = simulation.vms.shuffled(random).map { it.name }.chunked(3).take(2)
+            repeat(3) { round ->
+                simulation.after((1.5.seconds + 2.seconds * random.nextDouble()) * round) {
+                    simulation.vms.forEachIndexed { index, vm ->
+                        if (random.nextInt(10) > 0) vm.order = { sets[(index + round) % 2] }
+                    }
+                    burst()
+                    simulation.after(1.seconds * random.nextDouble()) { burst() }
+                }
+            }
+            simulation.after(9.seconds) { simulation.vms.forEach(::disturbViews) }
+        }
+
+        private fun burst() = LIMITS.forEach { (customer, limit) ->
+            repeat(simulation.budget.bound(limit).toInt() / 2) { alive().random(random).submit(customer) }
+        }
+
         private fun restart(vm: LimitSimulation.Vm, pause: Duration) {
             vm.kill()
             simulation.after(pause) { if (!vm.isAlive) vm.start() }
@@ -113,8 +132,8 @@
         }
 
         /**
-         * Lets [vm] see the fleet in a way of its own. Its number of VMs is unknown for a while, may be too high, and is
-         * too low by at most the VMs that were added, see `LimitBudget.shareTolerance`.
+         * Lets [vm] see the fleet in a way of its own. Its number of VMs is unknown for a while, and too low by at most
+         * the VMs that were added, see `LimitBudget.shareTolerance`.
          */
         private fun disturbViews(vm: LimitSimulation.Vm) {
             val knownFrom = simulation.now + 3.seconds * random.nextDouble()
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitUseSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitUseSpec.kt
@@ -110,10 +110,9 @@
                 fleet.advance(60.seconds)
                 val share = (account.admitted - admitted) / 60.0 / limits.getValue(loud).operationsPerSecond
                 val others = fleet.accounts.values.sumOf { it.refused } - account.refused - refusedOthers
-                println(
-                    "$size VMs, one customer at seven times its usual load: %.4f of its limit, %d refused of others, %d messages/s"
-                        .format(share, others, (fleet.messages - before) / 60),
-                )
+                val used = "%.4f of its limit".format(share)
+                val rate = (fleet.messages - before) / 60
+                println("$size VMs, one customer at 7 times its load: $used, $others others refused, $rate messages/s")
                 expectThat(share).isGreaterThan(0.98)
                 expectThat(others.toDouble() / (60 * OPERATIONS)).isLessThan(0.02)
                 fleet.expectNoViolation()
@@ -133,9 +132,8 @@
                 val busy = fleet.messages
                 fleet.submitAll(1.0) { fleet.vms.random(fleet.random) }
                 fleet.advance(30.seconds)
-                println(
-                    "$size VMs: ${(busy - idle) / 30} messages/s without demand, ${(fleet.messages - busy) / 30} at the usual load",
-                )
+                val rates = "${(busy - idle) / 30} messages/s without demand, ${(fleet.messages - busy) / 30} with it"
+                println("$size VMs: $rates")
                 expectThat((busy - idle) / 30.0 / size).isLessThan(2 * 3 / 0.6 + 0.5)
                 expectThat((fleet.messages - busy) / 30.0).isLessThan(2 * 3 / 0.6 * size + 2.5 * OPERATIONS)
             }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
@@ -54,4 +54,6 @@
     TASK_BROKEN(412, Level.ERROR, "A task of the node ended by an unexpected error"),
     CALLER_REJECTED(420, Level.INFO, "A caller could not prove its team"),
     SERVER_LISTENING(430, Level.INFO, "A server accepts connections"),
+    LIMITERS_CHANGED(440, Level.INFO, "Other VMs now count the limits of customers for this VM"),
+    LIMIT_REACHED(441, Level.INFO, "Operations of a customer are refused, as its limit is reached"),
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CallerAdmission.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CallerAdmission.kt
@@ -13,12 +13,28 @@
     /** No customer holds the caller's key. */
     data object UnknownKey : CallerAdmission
 
+    /** The caller's key was valid, but the configuration is too old to tell whether it still is. */
+    data object UnconfirmedKey : CallerAdmission
+
     companion object {
-        /** Decides for a caller with [key] on [route], given the customers in [directory]. */
-        fun of(directory: CustomerDirectory, route: InteractiveRoute, key: CallerKey?): CallerAdmission {
+        /**
+         * Decides for a caller with [key] on [route], given the customers in [directory], which are recent enough to
+         * tell whether a key is valid if [isSufficient].
+         */
+        fun of(
+            directory: CustomerDirectory,
+            route: InteractiveRoute,
+            key: CallerKey?,
+            isSufficient: Boolean = true,
+        ): CallerAdmission {
             if (directory.isEmpty) return Admitted(null)
             val customer = key?.let(directory::customerOf)
-            return if (customer == null && !route.isPublic) UnknownKey else Admitted(customer?.name)
+            return when {
+                route.isPublic -> Admitted(customer?.name)
+                customer == null -> UnknownKey
+                isSufficient -> Admitted(customer.name)
+                else -> UnconfirmedKey
+            }
         }
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.databasegroup.FailoverReason
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.RejectionCode
@@ -42,6 +43,7 @@
             "code",
         )
     }
+    private val customers by lazy { CustomerOperations().also { registry.register(it) } }
     private val failovers by lazy {
         counter("kumquatknot_failover_orders_total", "Orders to fail over, by reason", "reason")
     }
@@ -61,6 +63,10 @@
         failovers.labelValues(reason.name.lowercase()).inc()
     }
 
+    /** Counts an operation of [customer], which its limit admitted or refused. */
+    public fun customerOperation(customer: CustomerName, isAdmitted: Boolean): Unit =
+        customers.record(customer, isAdmitted)
+
     /** Returns all metrics in the text format of Prometheus. */
     public fun exposition(): String = registry.exposition()
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -1,11 +1,13 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.customer.CallerKey
+import dev.kumquatknot.core.customer.ConfigurationFreshness
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.Region
 import dev.kumquatknot.core.interactive.DiscoveredMember
 import dev.kumquatknot.core.interactive.InteractiveConfiguration
+import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.MemberHistory
 import dev.kumquatknot.core.interactive.RejectionCode
 import dev.kumquatknot.core.platform.StoreEra
@@ -52,6 +54,7 @@
     private val place: VmPlace,
     ports: InteractivePorts,
     limits: InteractiveLimits = InteractiveLimits(),
+    private val freshness: ConfigurationFreshness = ConfigurationFreshness.UNBOUNDED,
 ) {
     private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
     private val groups = LinkedHashMap<DatabaseName, GroupPools>()
@@ -61,8 +64,8 @@
     private val services = SessionServices(
         environment = environment,
         route = { configuration.routes[it] },
-        admission = { route, key -> CallerAdmission.of(configuration.customers, route, key) },
-        executor = LocalExecutor(::group, environment, OperationLimiter.UNLIMITED),
+        admission = ::admission,
+        executor = LocalExecutor(::group, environment, { call, done -> limiter.admit(call, done) }),
         transactionIdle = { configuration.transactionIdle },
         onAnswer = StatementRecorder(environment, ports.metrics)::record,
         onReply = { if (closing && it.isIdle) it.close() },
@@ -96,6 +99,13 @@
     /** Number of VMs that use the members, this one included; 0 while it is unknown. */
     public var fleetSize: Int = 0
 
+    /** Decides which operations are within the limits of their customers. */
+    internal var limiter: OperationLimiter = OperationLimiter.UNLIMITED
+        set(value) {
+            field = value
+            value.configure(configuration.customers)
+        }
+
     /** Starts the periodic maintenance of pools and polling of members. */
     public fun start() {
         repeatEvery(environment.limits.maintenanceInterval) { groups.values.forEach { it.maintain() } }
@@ -107,6 +117,7 @@
         if (next.number <= configuration.number) return
         val previous = configuration.number
         configuration = next
+        limiter.configure(next.customers)
         next.connections.keys.forEach(::group)
         distributeMembers()
         environment.events.log(
@@ -119,6 +130,9 @@
         openWaitingSessions()
     }
 
+    /** The store showed the configuration in force as it was [at]. */
+    public fun configurationConfirmed(at: Duration): Unit = freshness.confirmed(at)
+
     /** Replaces the discovered members with [next], which the store listed in [era]. */
     public fun updateMembers(next: List<DiscoveredMember>, era: StoreEra = StoreEra.UNKNOWN) {
         if (members != null && era > membersEra) {
@@ -176,6 +190,9 @@
         return SessionOpening.Opened(session)
     }
 
+    private fun admission(route: InteractiveRoute, key: CallerKey?): CallerAdmission =
+        CallerAdmission.of(configuration.customers, route, key, freshness.isSufficient(environment.now()))
+
     private fun openWaitingSessions() {
         if (!isInitialized) return
         waitingOpenings.toList().also { waitingOpenings.clear() }.forEach { it.open() }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -166,14 +166,18 @@
     }
 
     /**
-     * Returns the route in force and the customer of the caller. Without a route, or if the caller's key is no longer
-     * valid, rejects the statement, closes the session and returns null.
+     * Returns the route in force and the customer of the caller. Otherwise rejects the statement and returns null.
+     * Without a route, or if the caller's key is no longer valid, the session is closed as well.
      */
     private fun admitted(): Pair<InteractiveRoute, CustomerName?>? {
         val route = services.route(database)
         when (val admission = route?.let { services.admission(it, key) }) {
             is CallerAdmission.Admitted -> return route to admission.customer
             is CallerAdmission.UnknownKey -> reject(RejectionCode.UNAUTHENTICATED, "the key is not known")
+            is CallerAdmission.UnconfirmedKey -> {
+                reject(RejectionCode.UNAUTHENTICATED, "the key cannot be confirmed while the store does not answer")
+                return null
+            }
             null -> reject(RejectionCode.UNKNOWN_DATABASE, "no database is called $database")
         }
         close()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
@@ -22,6 +22,8 @@
  * @param clock for the ages and durations in log lines.
  * @param changeInterval minimum time between two calls that return changes. Objects of many writers change all the
  * time; without it, the calls of all VMs together would grow with the product of VMs and writers.
+ * @param onAnswer called on the watcher's thread after each answer that was applied, with the time for which the store
+ * confirmed the objects.
  * @param onObjects called on the watcher's thread with all objects and the era of the store, after each change.
  */
 public class ObjectWatcher(
@@ -32,6 +34,7 @@
     private val pacing: WatchPacing,
     private val changeInterval: Duration = Duration.ZERO,
     private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) },
+    private val onAnswer: (Duration) -> Unit = {},
     private val onObjects: (Collection<StoredObject>, StoreEra) -> Unit,
 ) {
     private val objects = LinkedHashMap<String, StoredObject>()
@@ -55,23 +58,32 @@
         }
     }
 
-    private fun readSnapshot(): ObjectSnapshot? = valueOrPause { feed.snapshot(kind) }?.also { snapshot ->
+    private fun readSnapshot(): ObjectSnapshot? {
+        val sentAt = clock.elapsed()
+        val snapshot = valueOrPause { feed.snapshot(kind) } ?: return null
         objects.clear()
         snapshot.objects.associateByTo(objects) { it.key }
         hasRead = true
         onObjects(objects.values.toList(), snapshot.era)
+        onAnswer(sentAt)
+        return snapshot
     }
 
     /** Watches until a call fails, the store no longer has the history since [first], or it has left [era]. */
     private fun watchFrom(first: Long, era: StoreEra) {
         var revision = first
         while (true) {
+            val sentAt = clock.elapsed()
             when (val answer = valueOrPause { feed.changes(kind, revision, pacing.wait) }) {
                 null, is WatchResult.RevisionCompacted -> return
                 is WatchResult.Changed -> {
                     if (answer.era != era) return
                     revision = answer.revision
+                    // The store answers when its wait has passed at the latest; a VM that was frozen reads that later.
+                    val confirmedAt = minOf(clock.elapsed(), sentAt + pacing.wait)
                     if (answer.changes.isNotEmpty()) apply(answer.changes, era)
+                    onAnswer(confirmedAt)
+                    if (answer.changes.isNotEmpty() && changeInterval.isPositive()) pause(changeInterval)
                 }
             }
         }
@@ -80,7 +92,6 @@
     private fun apply(changes: List<ObjectChange>, era: StoreEra) {
         changes.forEach(::apply)
         onObjects(objects.values.toList(), era)
-        if (changeInterval.isPositive()) pause(changeInterval)
     }
 
     private fun apply(change: ObjectChange) {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/OperationExecutor.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/OperationExecutor.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.customer.CustomerDirectory
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.RejectionCode
@@ -54,6 +55,9 @@
      */
     fun admit(call: StatementCall, done: (StatementResult.Rejected?) -> Unit)
 
+    /** Applies the limits of [customers], those of the configuration in force, from now on. */
+    fun configure(customers: CustomerDirectory) = Unit
+
     companion object {
         /** Admits all operations. */
         val UNLIMITED: OperationLimiter = OperationLimiter { _, done -> done(null) }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcherSpec.kt
@@ -30,6 +30,7 @@
     private val pauses = ArrayList<Duration>()
     private val done = CountDownLatch(1)
     private var consumerErrors = 0
+    private val confirmations = ArrayList<Int>()
     private val pacing = WatchPacing(4.seconds, connectTimeout = 800.milliseconds, answerTimeout = 700.milliseconds)
 
     private fun stored(name: String) = StoredObject("kind/$name", ObjectVersion(1), "")
@@ -62,7 +63,16 @@
         interval: Duration = Duration.ZERO,
     ) {
         val script = Script(ArrayDeque(snapshots), ArrayDeque(answers))
-        ObjectWatcher("kind", script, EventLog(), SystemClock, pacing, interval, pauses::add) { objects, era ->
+        ObjectWatcher(
+            "kind",
+            script,
+            EventLog(),
+            SystemClock,
+            pacing,
+            interval,
+            pauses::add,
+            onAnswer = { confirmations += seen.size },
+        ) { objects, era ->
             if (consumerErrors-- > 0) error("an unexpected object")
             seen += objects.map { it.key.substringAfter('/') } to era
         }.start()
@@ -125,4 +135,13 @@
         play(snapshots = List(5) { failure } + snapshot(1, 1, "a"))
         expectThat(pauses.distinct()).containsExactly(100.milliseconds)
     }
+
+    @Test
+    fun `tells of each answer after its objects are in force, and of no failure or answer of another era`() {
+        play(
+            snapshots = listOf(snapshot(1, 100, "a"), snapshot(2, 90, "a"), snapshot(2, 91, "a")),
+            answers = listOf(changed(1, 101, "b"), changed(1, 101), changed(2, 90), StoreFailure.NoAnswer("").left()),
+        )
+        expectThat(confirmations).containsExactly(1, 2, 2, 3, 4)
+    }
 }
