--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.exchange
 
+import dev.kumquatknot.core.customer.LimitWindow
 import dev.kumquatknot.core.fleet.FleetView
 import dev.kumquatknot.core.fleet.FleetVm
 import dev.kumquatknot.core.fleet.Placement
@@ -15,6 +16,9 @@
 import dev.kumquatknot.proxy.interactive.InteractiveNode
 import dev.kumquatknot.proxy.interactive.ObjectWatcher
 import dev.kumquatknot.proxy.interactive.WatchAnswer
+import dev.kumquatknot.proxy.limit.FleetLimiter
+import dev.kumquatknot.proxy.limit.LimiterEnvironment
+import dev.kumquatknot.proxy.limit.LimiterPlaces
 import io.netty.channel.EventLoop
 import java.net.InetSocketAddress
 import kotlin.time.Duration
@@ -28,6 +32,7 @@
  *
  * @param self this VM as it is registered.
  * @param view the registered VMs, as the [node] knows them too.
+ * @param limitWindow how the limits of customers are judged.
  * @param eventLoop event loop of the [node].
  * @param onUnknownRun called when a VM connects that is not in the last list of VMs.
  */
@@ -35,6 +40,7 @@
     private val node: InteractiveNode,
     private val self: FleetVm,
     private val view: FleetView,
+    private val limitWindow: LimitWindow,
     private val eventLoop: EventLoop,
     private val onUnknownRun: () -> Unit,
 ) {
@@ -62,17 +68,25 @@
         dropLink = network::drop,
     )
     private val feeds = ArrayList<SharedFeed>()
+    private val limiterPlaces = LimiterPlaces(
+        self = self.name,
+        run = self.run,
+        limiters = node::limiterVms,
+        registered = { view.size },
+    )
 
     /** Number of operations of other VMs that this VM runs. */
     public val openOperations: Int get() = server.openOperations
 
     /**
      * Shares the feed of the objects of one [kind] with the other VMs of the region. Returns the watcher that [create]
-     * made, which has to be started by the caller; [onObjects] is called on the event loop. To be called before [start].
+     * made, which has to be started by the caller. On the event loop, [onObjects] is called after each change, and
+     * [onConfirmed] with the time for which the store confirmed the objects. To be called before [start].
      */
     public fun share(
         kind: String,
         create: CreateWatcher,
+        onConfirmed: (Duration) -> Unit,
         onObjects: (List<StoredObject>, StoreEra) -> Unit,
     ): ObjectWatcher {
         lateinit var watcher: ObjectWatcher
@@ -84,6 +98,7 @@
             isShared = { !node.configuration.customers.isEmpty },
             sources = node::feedSources,
             setWatching = { if (it) watcher.resume() else watcher.pause() },
+            onConfirmed = onConfirmed,
             onObjects = onObjects,
         )
         watcher = create({ feed.maximumWait }) { answer -> eventLoop.execute { feed.answered(answer) } }
@@ -99,6 +114,13 @@
             network.addListener(executor)
             network.addListener(server)
             feeds.forEach { it.start() }
+            val limiterEnvironment = LimiterEnvironment(
+                environment.clock,
+                environment.schedule,
+                environment.events,
+                node.metrics,
+            )
+            node.limiter = FleetLimiter(limiterPlaces, network, limiterEnvironment, limitWindow)
             node.executor = executor
         }.sync()
         network.listen(address)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/SharedFeed.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/SharedFeed.kt
@@ -20,6 +20,7 @@
  * @param isShared whether VMs share feeds; otherwise each watches the store itself.
  * @param sources the VMs that watch the store for this VM, in the order of preference.
  * @param setWatching starts or pauses this VM's own watch of the store.
+ * @param onConfirmed called with the time for which the store confirmed the objects that this VM knows.
  * @param onObjects called with all objects and the era of the store, after each change.
  */
 internal class SharedFeed(
@@ -30,6 +31,7 @@
     private val isShared: () -> Boolean,
     private val sources: () -> List<VmName>,
     private val setWatching: (Boolean) -> Unit,
+    private val onConfirmed: (Duration) -> Unit = {},
     private val onObjects: (List<StoredObject>, StoreEra) -> Unit,
 ) : PeerListener {
     private val subscription = FeedSubscription(self)
@@ -62,9 +64,12 @@
 
     /** Records an [answer] of the store to this VM's own watch. */
     fun answered(answer: WatchAnswer) {
-        val news = subscription.record(answer) ?: return
-        publish()
-        onObjects(news.objects, news.era)
+        val news = subscription.record(answer)
+        if (news != null) {
+            publish()
+            onObjects(news.objects, news.era)
+        }
+        subscription.confirmedAt?.let(onConfirmed)
     }
 
     override fun received(vm: VmName, message: PeerMessage) {
@@ -77,6 +82,7 @@
             val news = subscription.receive(vm, payload, environment.now())
             decide()
             news?.let { onObjects(it.objects, it.era) }
+            subscription.confirmedAt?.let(onConfirmed)
         }
     }
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -1,6 +1,7 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.customer.CallerKey
+import dev.kumquatknot.core.customer.ConfigurationFreshness
 import dev.kumquatknot.core.fleet.FleetView
 import dev.kumquatknot.core.fleet.FleetVm
 import dev.kumquatknot.core.fleet.HomeVms
@@ -69,6 +70,7 @@
     ports: InteractivePorts,
     limits: InteractiveLimits = InteractiveLimits(),
     private val fleet: FleetView = FleetView(),
+    private val freshness: ConfigurationFreshness = ConfigurationFreshness.UNBOUNDED,
 ) {
     private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
     private val groups = LinkedHashMap<DatabaseName, GroupPools>()
@@ -82,7 +84,7 @@
     private val services = SessionServices(
         environment = environment,
         route = { configuration.routes[it] },
-        admission = { route, key -> CallerAdmission.of(configuration.customers, route, key) },
+        admission = ::admission,
         executor = { executor },
         transactionIdle = { configuration.transactionIdle },
         onAnswer = StatementRecorder(environment, ports.metrics)::record,
@@ -112,8 +114,11 @@
 
     internal val nodeEnvironment: NodeEnvironment get() = environment
 
+    internal val metrics: InteractiveMetrics = ports.metrics
+
     /** Runs the operations of sessions, on this VM unless another executor is set. */
-    internal var executor: OperationExecutor = LocalExecutor(::group, environment, OperationLimiter.UNLIMITED)
+    internal var executor: OperationExecutor =
+        LocalExecutor(::group, environment, { call, done -> limiter.admit(call, done) })
 
     /** Whether this VM decides failovers; it then polls members more often and for more data. */
     public var decidesFailovers: Boolean = false
@@ -130,6 +135,13 @@
             wakeTimers()
         }
 
+    /** Decides which operations are within the limits of their customers. */
+    internal var limiter: OperationLimiter = OperationLimiter.UNLIMITED
+        set(value) {
+            field = value
+            value.configure(configuration.customers)
+        }
+
     /** Applies the registered VMs that the store has [listed]. */
     public fun updateFleet(listed: List<FleetVm>) {
         fleet.update(listed)
@@ -170,6 +182,9 @@
     internal fun feedSources(): List<VmName> =
         homes.live(FEED_SUBJECT, homes.region(place.dataCentre), environment.now()).take(FEED_SOURCES).map { it.name }
 
+    /** VMs of all regions that count for the limits of customers, in order of preference. */
+    internal fun limiterVms(): List<VmName> = homes.live(LIMITER_SUBJECT, null, environment.now()).map { it.name }
+
     /** Position of this VM among those of its region that compete for the fleet's duties; 0 where nothing is shared. */
     public fun dutyRank(): Int {
         val self = homes.self ?: return 0
@@ -202,6 +217,7 @@
         if (next.number <= configuration.number) return
         val previous = configuration.number
         configuration = next
+        limiter.configure(next.customers)
         next.connections.keys.forEach(::group)
         distributeMembers()
         wakeTimers()
@@ -216,6 +232,9 @@
         openWaitingSessions()
     }
 
+    /** The store showed the configuration in force as it was [at]. */
+    public fun configurationConfirmed(at: Duration): Unit = freshness.confirmed(at)
+
     /** Replaces the discovered members with [next], which the store listed in [era]. */
     public fun updateMembers(next: List<DiscoveredMember>, era: StoreEra = StoreEra.UNKNOWN) {
         if (members != null && era > membersEra) {
@@ -274,6 +293,9 @@
         return SessionOpening.Opened(session)
     }
 
+    private fun admission(route: InteractiveRoute, key: CallerKey?): CallerAdmission =
+        CallerAdmission.of(configuration.customers, route, key, freshness.isSufficient(environment.now()))
+
     private fun openWaitingSessions() {
         if (!isInitialized) return
         waitingOpenings.toList().also { waitingOpenings.clear() }.forEach { it.open() }
@@ -343,6 +365,7 @@
         const val BALANCED_FLEET_SIZE = 16
         const val FEED_SUBJECT = "feeds"
         const val DUTY_SUBJECT = "duties"
+        const val LIMITER_SUBJECT = "limits"
 
         /** With two, the others of the region need not watch the store when one of them is lost. */
         const val FEED_SOURCES = 2
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
@@ -21,7 +21,7 @@
  *
  * @property objects all objects; null if they are the same as in the previous answer.
  * @property revision revision of [era] up to which the answer covers all changes.
- * @property at time of the answer on the watcher's clock.
+ * @property at time on the watcher's clock for which the store confirmed the objects.
  */
 public data class WatchAnswer(
     val objects: List<StoredObject>?,
@@ -39,7 +39,7 @@
  * @param changeInterval minimum time between two calls that return changes. Objects of many writers change all the
  * time; without it, the calls of all VMs together would grow with the product of VMs and writers.
  * @param maximumWait bounds the wait for changes and [changeInterval], and with them the age of the last answer.
- * @param onAnswer called on the watcher's thread after each answer of the store.
+ * @param onAnswer called on the watcher's thread after each answer of the store that was applied.
  */
 public class ObjectWatcher(
     private val kind: String,
@@ -93,38 +93,45 @@
         }
     }
 
-    private fun readSnapshot(): ObjectSnapshot? = valueOrPause { feed.snapshot(kind) }?.also { snapshot ->
+    private fun readSnapshot(): ObjectSnapshot? {
+        val sentAt = clock.elapsed()
+        val snapshot = valueOrPause { feed.snapshot(kind) } ?: return null
         objects.clear()
         snapshot.objects.associateByTo(objects) { it.key }
         hasRead = true
-        report(objects.values.toList(), snapshot.revision, snapshot.era)
+        report(objects.values.toList(), snapshot.revision, snapshot.era, sentAt)
+        return snapshot
     }
 
-    private fun report(changed: List<StoredObject>?, revision: Long, era: StoreEra) =
-        onAnswer(WatchAnswer(changed, revision, era, answeredAt ?: clock.elapsed()))
+    private fun report(changed: List<StoredObject>?, revision: Long, era: StoreEra, confirmedAt: Duration) =
+        onAnswer(WatchAnswer(changed, revision, era, confirmedAt))
 
     /** Watches until it is paused, a call fails, the store no longer has the history since [first], or it has left [era]. */
     private fun watchFrom(first: Long, era: StoreEra) {
         var revision = first
         while (!shallPause()) {
-            when (val answer = valueOrPause { feed.changes(kind, revision, minOf(pacing.wait, maximumWait())) }) {
+            val sentAt = clock.elapsed()
+            val wait = minOf(pacing.wait, maximumWait())
+            when (val answer = valueOrPause { feed.changes(kind, revision, wait) }) {
                 null, is WatchResult.RevisionCompacted -> return
                 is WatchResult.Changed -> {
                     if (answer.era != era) return
                     revision = answer.revision
+                    // The store answers when its wait has passed at the latest; a VM that was frozen reads that later.
+                    val confirmedAt = minOf(clock.elapsed(), sentAt + wait)
                     if (answer.changes.isEmpty()) {
-                        report(null, revision, era)
+                        report(null, revision, era, confirmedAt)
                     } else {
-                        apply(answer.changes, revision, era)
+                        apply(answer.changes, revision, era, confirmedAt)
                     }
                 }
             }
         }
     }
 
-    private fun apply(changes: List<ObjectChange>, revision: Long, era: StoreEra) {
+    private fun apply(changes: List<ObjectChange>, revision: Long, era: StoreEra, confirmedAt: Duration) {
         changes.forEach(::apply)
-        report(objects.values.toList(), revision, era)
+        report(objects.values.toList(), revision, era, confirmedAt)
         if (changeInterval.isPositive()) pause(minOf(changeInterval, maximumWait()))
     }
 
