--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/balancing/MemberChoice.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/balancing/MemberChoice.kt
@@ -17,7 +17,7 @@
 public class MemberChoice(private val random: () -> Double = Random::nextDouble) {
     /** Returns the index of the chosen one of [estimates], of which there is at least one. */
     public fun choose(estimates: List<LoadEstimate>): Int {
-        val weights = weights(estimates)
+        val weights = weights(withoutUnmeasured(estimates))
         var rest = random() * weights.sum()
         weights.forEachIndexed { index, weight ->
             rest -= weight
@@ -33,6 +33,12 @@
     public fun leaves(estimate: LoadEstimate, saving: Duration): Boolean =
         saving.isPositive() && horizon(estimate.age) * random() < saving
 
+    /** A member of unknown speed counts as fast as the fastest known one, so that it is measured soon. */
+    private fun withoutUnmeasured(estimates: List<LoadEstimate>): List<LoadEstimate> {
+        val fastest = estimates.filter { it.isMeasured }.minOfOrNull { it.serviceTime } ?: return estimates
+        return estimates.map { if (it.isMeasured) it else it.copy(serviceTime = fastest) }
+    }
+
     private fun weights(estimates: List<LoadEstimate>): List<Double> {
         val horizon = horizon(estimates.maxOf { it.age })
         val least = estimates.minOf { it.drainTime }
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/balancing/MemberLoad.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/balancing/MemberLoad.kt
@@ -14,12 +14,14 @@
  * @property serviceTime time that the member takes for a statement.
  * @property occupied statements that run on the member or wait for it.
  * @property age time since the observation on which the estimate rests; infinite without any.
+ * @property isMeasured whether [serviceTime] was measured.
  */
 public data class LoadEstimate(
     val slots: Int,
     val serviceTime: Duration,
     val occupied: Double,
     val age: Duration,
+    val isMeasured: Boolean = true,
 ) {
     /** Statements per second that the member can finish. */
     public val throughput: Double get() = slots * (1.seconds / serviceTime)
@@ -90,7 +92,8 @@
         val usual = average ?: (slots * FREE_SHARE)
         val weight = if (age.isFinite()) exp(-(age / DECAY)) else 0.0
         val own = sent.count { it > latest.at }
-        return LoadEstimate(slots, serviceTime.value, usual + (latest.occupied - usual) * weight + own, age)
+        val occupied = usual + (latest.occupied - usual) * weight + own
+        return LoadEstimate(slots, serviceTime.value, occupied, age, serviceTime.hasSamples)
     }
 
     private fun observe(occupied: Double, at: Duration) {
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/balancing/MemberChoiceSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/balancing/MemberChoiceSpec.kt
@@ -77,6 +77,12 @@
         }
     }
 
+    @Test
+    fun `a member that was never used gets as much as the fastest known one, and not next to nothing`() {
+        val unmeasured = MemberLoad(4).estimate(Duration.ZERO)
+        expectThat(shareOfFirst(unmeasured, estimate(2.0, 50.milliseconds, service = 1.milliseconds))).isIn(0.4..0.6)
+    }
+
     @Test
     fun `an estimate without any observation can be chosen`() {
         expectThat(choice.choose(listOf(estimate(2.0, Duration.INFINITE)))).isEqualTo(0)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FleetRegistry.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FleetRegistry.kt
@@ -87,7 +87,7 @@
     }
 
     private fun delayAfter(failures: Int): Duration =
-        if (failures == 0) LIST_INTERVAL else minOf(FIRST_RETRY_DELAY * (1 shl minOf(failures - 1, 3)), LIST_INTERVAL)
+        if (failures == 0) LIST_INTERVAL else FIRST_RETRY_DELAY * (1 shl minOf(failures - 1, MAXIMUM_DOUBLINGS))
 
     /** Returns whether the store has answered and this VM is registered. */
     private fun list(): Boolean {
@@ -137,7 +137,8 @@
         val LIST_INTERVAL = 30.seconds
         val REFRESH_DELAY = 1.seconds
 
-        /** The delay doubles with each failure up to eight times this, as the platform counts failed calls, too. */
+        /** The delay doubles with each failure, as the platform counts failed calls, too. */
         val FIRST_RETRY_DELAY = 1.seconds
+        const val MAXIMUM_DOUBLINGS = 3
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -29,6 +29,7 @@
 /**
  * Connection pools for the members of one group, with the believed primary and the proofs of replica freshness.
  *
+ * @param choice chooses the member of reads that are placed by load.
  * @param isBalanced whether reads are placed by estimates of the members' load.
  */
 internal class GroupPools(
@@ -37,11 +38,12 @@
     private val isRemote: (DiscoveredMember) -> Boolean,
     private val connections: () -> ConnectionBudget,
     private val onPrimaryUnknown: (GroupPools) -> Unit,
+    choice: MemberChoice = MemberChoice(),
     private val isBalanced: () -> Boolean = { false },
 ) {
     private val pools = LinkedHashMap<MemberName, MemberPool>()
     private val placement = ReadPlacement()
-    private val placementByLoad = ReadPlacement(choice = MemberChoice())
+    private val placementByLoad = ReadPlacement(choice = choice)
     private val loads = HashMap<MemberName, MemberLoad>()
     private val history = MemberHistory()
     private var replicasLaggedAt = -Duration.INFINITE
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.balancing.MemberChoice
 import dev.kumquatknot.core.customer.CallerKey
 import dev.kumquatknot.core.fleet.FleetView
 import dev.kumquatknot.core.fleet.FleetVm
@@ -24,6 +25,7 @@
 import dev.kumquatknot.proxy.fleet.FleetLinks
 import dev.kumquatknot.proxy.fleet.LoadReportPayload
 import dev.kumquatknot.proxy.fleet.PeerNetwork
+import kotlin.random.Random
 import kotlin.time.Duration
 
 /**
@@ -37,6 +39,7 @@
  * Ports of an [InteractiveNode].
  *
  * @property schedule runs tasks on the event loop that calls the node.
+ * @property random returns a number from 0 until 1, for choices by load.
  */
 public class InteractivePorts(
     public val clock: Clock,
@@ -44,8 +47,14 @@
     public val openLink: OpenMemberLink,
     public val events: EventLog,
     public val metrics: InteractiveMetrics = InteractiveMetrics(),
+    public val random: () -> Double = Random::nextDouble,
 )
 
+/**
+ * Returns where an operation on a route runs now, and why; `isRead` is whether it is a read or a read-only transaction.
+ */
+public typealias PlaceOperation = (route: InteractiveRoute, isRead: Boolean) -> Placement
+
 /** Result of opening a session. */
 public sealed interface SessionOpening {
     /** The session is open. */
@@ -60,13 +69,13 @@
  *
  * All calls and scheduled tasks run on one event loop and must not block.
  *
- * @param fleet the VMs of the deployment as this one knows them; by default, this VM exchanges nothing with others.
+ * @property fleet the VMs of the deployment as this one knows them; by default, this VM exchanges nothing with others.
  */
 public class InteractiveNode(
     private val place: VmPlace,
-    ports: InteractivePorts,
+    private val ports: InteractivePorts,
     limits: InteractiveLimits = InteractiveLimits(),
-    private val fleet: FleetView = FleetView(),
+    public val fleet: FleetView = FleetView(),
 ) {
     private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
     private val groups = LinkedHashMap<DatabaseName, GroupPools>()
@@ -144,10 +153,7 @@
     public fun isHomeVm(group: DatabaseName, dataCentre: DataCentre): Boolean =
         !configuration.customers.isEmpty && homes.isHome(group.value, dataCentre, environment.now())
 
-    /**
-     * Returns where an operation on [route] runs now, and why; [isRead] is whether it is a read or a read-only
-     * transaction.
-     */
+    /** Decides as a [PlaceOperation]. */
     public fun placeOperation(route: InteractiveRoute, isRead: Boolean): Placement {
         val operation = PlacedOperation(
             group = route.group,
@@ -254,6 +260,7 @@
         isRemote = ::isRemote,
         connections = { connectionBudget(name) },
         onPrimaryUnknown = { poller.poll(it, decidesFailovers) },
+        choice = MemberChoice(ports.random),
         isBalanced = { isBalanced(connectionBudget(name)) },
     )
 
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/BalancedReadsSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/BalancedReadsSpec.kt
@@ -24,6 +24,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -34,7 +35,7 @@
     private val dataCentres = listOf("a", "b", "c").map(::DataCentre)
     private val node = InteractiveNode(
         VmPlace(dataCentres[0], dataCentres.associateWith { Region("land") }),
-        InteractivePorts(loop, loop::schedule, group::open, EventLog()),
+        InteractivePorts(loop, loop::schedule, group::open, EventLog(), random = Random(1)::nextDouble),
     )
     private val key = CallerKey("key")
     private val customers = CustomerDirectory(listOf(Customer(CustomerName("tukan"), setOf(key), limit = null)))
