--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -42,6 +42,7 @@
 /**
  * Connection pools for the members of one group, with the believed primary and the proofs of replica freshness.
  *
+ * @param choice chooses the member of reads that are placed by load.
  * @param isBalanced whether reads are placed by estimates of the members' load.
  * @param role this VM's part in the use of a member.
  */
@@ -51,12 +52,13 @@
     private val isRemote: (DiscoveredMember) -> Boolean,
     private val connections: () -> ConnectionBudget,
     private val listener: GroupListener,
+    choice: MemberChoice = MemberChoice(),
     private val isBalanced: () -> Boolean = { false },
     private val role: (DiscoveredMember) -> PoolRole = { PoolRole.SHARED },
 ) {
     private val pools = LinkedHashMap<MemberName, MemberPool>()
     private val placement = ReadPlacement()
-    private val placementByLoad = ReadPlacement(choice = MemberChoice())
+    private val placementByLoad = ReadPlacement(choice = choice)
     private val loads = HashMap<MemberName, MemberLoad>()
     private val history = MemberHistory()
     private var replicasLaggedAt = -Duration.INFINITE
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.interactive
 
+import dev.kumquatknot.core.balancing.MemberChoice
 import dev.kumquatknot.core.customer.CallerKey
 import dev.kumquatknot.core.customer.ConfigurationFreshness
 import dev.kumquatknot.core.fleet.FleetView
@@ -27,6 +28,7 @@
 import dev.kumquatknot.proxy.fleet.PeerNetwork
 import dev.kumquatknot.proxy.pool.ConnectionBudget
 import dev.kumquatknot.proxy.pool.PoolRole
+import kotlin.random.Random
 import kotlin.time.Duration
 
 /**
@@ -40,6 +42,7 @@
  * Ports of an [InteractiveNode].
  *
  * @property schedule runs tasks on the event loop that calls the node.
+ * @property random returns a number from 0 until 1, for choices by load.
  */
 public class InteractivePorts(
     public val clock: Clock,
@@ -47,6 +50,7 @@
     public val openLink: OpenMemberLink,
     public val events: EventLog,
     public val metrics: InteractiveMetrics = InteractiveMetrics(),
+    public val random: () -> Double = Random::nextDouble,
 )
 
 /** Result of opening a session. */
@@ -63,13 +67,13 @@
  *
  * All calls and scheduled tasks run on one event loop and must not block.
  *
- * @param fleet the VMs of the deployment as this one knows them; by default, this VM exchanges nothing with others.
+ * @property fleet the VMs of the deployment as this one knows them; by default, this VM exchanges nothing with others.
  */
 public class InteractiveNode(
     private val place: VmPlace,
-    ports: InteractivePorts,
+    private val ports: InteractivePorts,
     limits: InteractiveLimits = InteractiveLimits(),
-    private val fleet: FleetView = FleetView(),
+    public val fleet: FleetView = FleetView(),
     private val freshness: ConfigurationFreshness = ConfigurationFreshness.UNBOUNDED,
 ) {
     private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
@@ -319,6 +323,7 @@
                 pollTimer.wake()
             }
         },
+        choice = MemberChoice(ports.random),
         isBalanced = { isBalanced(connectionBudget(name)) },
         role = ::poolRole,
     )
