--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/FeedSubscription.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/FeedSubscription.kt
@@ -26,6 +26,7 @@
     private var trustedAt = -Duration.INFINITE
     private var announcedAt = -Duration.INFINITE
     private var reportedAge = Duration.INFINITE
+    private var returnDelay = SHORTEST_RETURN_DELAY
 
     /** The newest known state; null before the first one. */
     var state: FeedState? = null
@@ -47,15 +48,24 @@
      * Decides anew at [now] and returns the VM to which a subscription is sent now; null if none is.
      *
      * @param isShared whether VMs share feeds at all.
-     * @param sources the VMs that watch the store for this one, in the order of preference.
+     * @param sources the VMs that watch the store for others, in the order of preference. The first of them watches it
+     * in any case, a further one while the ones before it don't serve.
+     * @param hasSubscribers whether other VMs rely on this one, as they do not reach the sources before it.
      */
-    fun decide(now: Duration, isShared: Boolean, sources: List<VmName>): VmName? {
-        if (!isShared || self in sources || sources.isEmpty()) {
+    fun decide(
+        now: Duration,
+        isShared: Boolean,
+        sources: List<VmName>,
+        hasSubscribers: Boolean = false,
+    ): VmName? {
+        val preferred = sources.takeWhile { it != self }
+        val isNeeded = hasSubscribers && self in sources
+        if (!isShared || preferred.isEmpty() || isNeeded) {
             source = null
             watchesStore = true
             return null
         }
-        chooseSource(now, sources)
+        chooseSource(now, preferred)
         watchesStore = !isTrusted(now)
         if (now - announcedAt < ANNOUNCEMENT_INTERVAL) return null
         announcedAt = now
@@ -70,18 +80,28 @@
         val isOutdated = now - maxOf(subscribedAt, trustedAt) > MAXIMUM_CATCH_UP
         when {
             current == null || index < 0 -> subscribe(sources.first(), now)
-            isSilent || isOutdated -> subscribe(sources[(index + 1) % sources.size], now)
+            isSilent || isOutdated -> {
+                if (index == 0) returnDelay = minOf(returnDelay * 2, LONGEST_RETURN_DELAY)
+                subscribe(sources[(index + 1) % sources.size], now)
+            }
+            index > 0 && now - subscribedAt > returnDelay -> returnTo(sources.first(), now)
+            index == 0 && now - subscribedAt > returnDelay -> returnDelay = SHORTEST_RETURN_DELAY
         }
     }
 
     private fun subscribe(next: VmName, now: Duration) {
-        source = next
-        subscribedAt = now
-        announcedAt = -Duration.INFINITE
+        returnTo(next, now)
         heardAt = null
         reportedAge = Duration.INFINITE
     }
 
+    /** Subscribes to [preferred] and goes on trusting the former source until [preferred] is due to answer. */
+    private fun returnTo(preferred: VmName, now: Duration) {
+        source = preferred
+        subscribedAt = now
+        announcedAt = -Duration.INFINITE
+    }
+
     private fun isTrusted(now: Duration): Boolean =
         heardAt?.let { now - it <= MAXIMUM_SILENCE } ?: false && reportedAge <= MAXIMUM_AGE
 
@@ -90,7 +110,7 @@
         if (vm != source) return
         heardAt = null
         reportedAge = Duration.INFINITE
-        announcedAt = -Duration.INFINITE
+        subscribedAt = -Duration.INFINITE
     }
 
     /** Records [update], which [vm] sent, and returns the state if its objects are news. */
@@ -147,6 +167,13 @@
          */
         val MAXIMUM_CATCH_UP: Duration = 5.seconds
 
+        /**
+         * Half the time after which a VM returns to the source that it prefers, as a source without subscribers makes
+         * fewer calls; the time doubles with each failure of that source.
+         */
+        val SHORTEST_RETURN_DELAY: Duration = 5.seconds
+        val LONGEST_RETURN_DELAY: Duration = 80.seconds
+
         /** Interval at which a subscription is announced again, which keeps it alive. */
         val ANNOUNCEMENT_INTERVAL: Duration = 4.seconds
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/SharedFeed.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/SharedFeed.kt
@@ -71,6 +71,7 @@
         message.feedSubscription?.takeIf { it.kind == kind }?.let { payload ->
             publication.subscribe(vm, payload, environment.now())
             limitWait()
+            decide()
             send(vm)
         }
         message.feedUpdate?.takeIf { it.kind == kind }?.let { payload ->
@@ -87,13 +88,13 @@
     }
 
     private fun update() {
-        decide()
-        limitWait()
         publish()
+        limitWait()
+        decide()
     }
 
     private fun decide() {
-        val target = subscription.decide(environment.now(), isShared(), sources())
+        val target = subscription.decide(environment.now(), isShared(), sources(), publication.hasSubscribers)
         if (subscription.watchesStore != isWatching) {
             isWatching = subscription.watchesStore
             setWatching(isWatching)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistry.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FleetRegistry.kt
@@ -62,6 +62,6 @@
     private companion object {
         const val STEP = "count VMs"
         val FIRST_COUNT_DELAY = 3_000.milliseconds
-        val COUNT_INTERVAL = 20.seconds
+        val COUNT_INTERVAL = 30.seconds
     }
 }
