Count store calls, polls and opened connections by purpose

Cause: operators could not tell what a VM costs, nor why.

Checked: CostMetricsSpec, InteractiveNodeSpec, OperationsPageSpec and SilentStoreSpec pass.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
@@ -103,6 +103,7 @@
 
     private fun send(pool: MemberPool, polls: ReplicaPolls) {
         polls.isPending = true
+        environment.metrics.memberPolled(PollPurpose.CONFIRMATION)
         val now = environment.now()
         val unconfirmedFor = oldest?.let { now - it.since } ?: Duration.ZERO
         val reports = unconfirmedFor > APPLICATION_TIME || now < polls.reportsUntil
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
@@ -32,6 +32,7 @@
         group.all.forEach { pool ->
             val needed = suspected || now >= dueTime(group, pool, decides)
             if (needed && isWorthwhile(pool, decides) && pool !in pendingPolls) {
+                environment.metrics.memberPolled(purposeOf(group, pool, suspected))
                 sendPoll(pool, pollCommands(group, pool, decides))
             }
         }
@@ -39,6 +40,12 @@
         return if (decides || suspected || group.isInUse) now else nextDueTime(group, decides)
     }
 
+    private fun purposeOf(group: GroupPools, pool: MemberPool, suspected: Boolean): PollPurpose = when {
+        suspected -> PollPurpose.SUSPICION
+        group.leads(pool) -> PollPurpose.PROOF
+        else -> PollPurpose.REPLICA
+    }
+
     /** Other VMs than the home VM learn of a change of the primary when they use the group. */
     private fun polls(group: GroupPools, decides: Boolean): Boolean =
         decides || group.isInUse || isHome(group.group) || group.confirmer.stalledSince != null
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
@@ -50,6 +50,21 @@
         counter("kumquatknot_failover_orders_total", "Orders to fail over, by reason", "reason")
     }
 
+    private val storeCalls by lazy {
+        counter(
+            "kumquatknot_store_calls_total",
+            "Calls to the platform's store, by purpose and kind of call",
+            "purpose",
+            "call",
+        )
+    }
+    private val polls by lazy {
+        counter("kumquatknot_member_polls_total", "Polls of members, by purpose", "purpose")
+    }
+    private val openings by lazy {
+        counter("kumquatknot_member_connections_opened_total", "Connections opened to members, by reason", "reason")
+    }
+
     /** The series of each class of statements, as a lookup by label values costs more than the observation. */
     private val series = ConcurrentHashMap<StatementClass, StatementSeries>()
 
@@ -69,6 +84,21 @@
         failovers.labelValues(reason.name.lowercase()).inc()
     }
 
+    /** Counts a call to the store. */
+    public fun storeCalled(purpose: StorePurpose, call: StoreCall) {
+        storeCalls.labelValues(purpose.label, call.label).inc()
+    }
+
+    /** Counts a poll of a member. */
+    public fun memberPolled(purpose: PollPurpose) {
+        polls.labelValues(purpose.label).inc()
+    }
+
+    /** Counts an attempt to open a connection to a member. */
+    public fun connectionOpening(reason: OpeningReason) {
+        openings.labelValues(reason.label).inc()
+    }
+
     /** Returns all metrics in the text format of Prometheus. */
     public fun exposition(): String = registry.exposition()
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -1,6 +1,7 @@
 package dev.kumquatknot.proxy.interactive
 
 import dev.kumquatknot.core.customer.CallerKey
+import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.identity.Region
@@ -56,7 +57,9 @@
     limits: InteractiveLimits = InteractiveLimits(),
     isHome: (DatabaseName) -> Boolean = { true },
 ) {
-    private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
+    private val openLink = ports.openLink
+    private val environment =
+        NodeEnvironment(ports.clock, ports.schedule, ::openLink, ports.events, limits, ports.metrics)
     private val groups = LinkedHashMap<DatabaseName, GroupPools>()
     private val poller = GroupPoller(environment, isHome, onFailure = { pollTimer.wake() })
     private val maintenanceTimer = RestingTimer(environment, limits.maintenanceInterval) { maintain() }
@@ -216,6 +219,16 @@
         },
     )
 
+    private fun openLink(member: DiscoveredMember, customer: CustomerName?, events: MemberLinkEvents): MemberLink {
+        val reason = when {
+            groups[member.group]?.isInUse == true -> OpeningReason.OPERATIONS
+            decidesFailovers -> OpeningReason.FAILOVER
+            else -> OpeningReason.REST
+        }
+        environment.metrics.connectionOpening(reason)
+        return openLink.invoke(member, customer, events)
+    }
+
     private fun wakeTimers() {
         maintenanceTimer.wake()
         pollTimer.wake()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/NodeEnvironment.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/NodeEnvironment.kt
@@ -16,6 +16,7 @@
     val openLink: OpenMemberLink,
     val events: EventLog,
     val limits: InteractiveLimits,
+    val metrics: InteractiveMetrics = InteractiveMetrics(),
 ) {
     fun now(): Duration = clock.elapsed()
 }
