--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
@@ -7,6 +7,7 @@
 import dev.kumquatknot.core.identity.MemberName
 import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.proxy.event.Event
+import dev.kumquatknot.proxy.metric.PollPurpose
 import dev.kumquatknot.proxy.pool.BatchResult
 import dev.kumquatknot.proxy.pool.MemberPool
 import kotlin.time.Duration
@@ -105,6 +106,7 @@
 
     private fun send(pool: MemberPool, polls: ReplicaPolls) {
         polls.isPending = true
+        environment.metrics.memberPolled(PollPurpose.CONFIRMATION)
         val now = environment.now()
         val unconfirmedFor = oldest?.let { now - it.since } ?: Duration.ZERO
         val reports = unconfirmedFor > APPLICATION_TIME || now < polls.reportsUntil
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
@@ -2,6 +2,7 @@
 
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.interactive.MemberCommand
+import dev.kumquatknot.proxy.metric.PollPurpose
 import dev.kumquatknot.proxy.pool.BatchResult
 import dev.kumquatknot.proxy.pool.MemberPool
 import kotlin.time.Duration
@@ -34,6 +35,7 @@
         group.all.forEach { pool ->
             val needed = suspected || now >= dueTime(group, pool, decides)
             if (needed && isWorthwhile(pool, decides) && pool !in pendingPolls) {
+                environment.metrics.memberPolled(purposeOf(group, pool, suspected))
                 sendPoll(pool, pollCommands(group, pool, decides))
             }
         }
@@ -41,6 +43,12 @@
         return if (decides || suspected || group.isInUse) now else nextDueTime(group, decides)
     }
 
+    private fun purposeOf(group: GroupPools, pool: MemberPool, suspected: Boolean): PollPurpose = when {
+        suspected -> PollPurpose.SUSPICION
+        group.leads(pool) -> PollPurpose.PROOF
+        else -> PollPurpose.REPLICA
+    }
+
     /** Other VMs than the home VM learn of a change of the primary when they use the group. */
     private fun polls(group: GroupPools, decides: Boolean): Boolean =
         decides || group.isInUse || isHome(group.group) || group.confirmer.stalledSince != null
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -3,6 +3,7 @@
 import dev.kumquatknot.core.balancing.MemberChoice
 import dev.kumquatknot.core.customer.CallerKey
 import dev.kumquatknot.core.customer.ConfigurationFreshness
+import dev.kumquatknot.core.customer.CustomerName
 import dev.kumquatknot.core.fleet.FleetView
 import dev.kumquatknot.core.fleet.FleetVm
 import dev.kumquatknot.core.fleet.HomeVms
@@ -26,6 +27,8 @@
 import dev.kumquatknot.proxy.fleet.FleetLinks
 import dev.kumquatknot.proxy.fleet.LoadReportPayload
 import dev.kumquatknot.proxy.fleet.PeerNetwork
+import dev.kumquatknot.proxy.metric.InteractiveMetrics
+import dev.kumquatknot.proxy.metric.OpeningReason
 import dev.kumquatknot.proxy.pool.ConnectionBudget
 import dev.kumquatknot.proxy.pool.PoolRole
 import kotlin.random.Random
@@ -76,7 +79,9 @@
     public val fleet: FleetView = FleetView(),
     private val freshness: ConfigurationFreshness = ConfigurationFreshness.UNBOUNDED,
 ) {
-    private val environment = NodeEnvironment(ports.clock, ports.schedule, ports.openLink, ports.events, limits)
+    private val openLink = ports.openLink
+    private val environment =
+        NodeEnvironment(ports.clock, ports.schedule, ::openLink, ports.events, limits, ports.metrics)
     private val groups = LinkedHashMap<DatabaseName, GroupPools>()
     private val poller = GroupPoller(environment, ::isHomeOfAnyRegion, onFailure = { pollTimer.wake() })
     private val maintenanceTimer = RestingTimer(environment, limits.maintenanceInterval) { maintain() }
@@ -328,6 +333,16 @@
         role = ::poolRole,
     )
 
+    private fun openLink(member: DiscoveredMember, customer: CustomerName?, events: MemberLinkEvents): MemberLink {
+        val reason = when {
+            groups[member.group]?.isInUse == true -> OpeningReason.OPERATIONS
+            decidesFailovers -> OpeningReason.FAILOVER
+            else -> OpeningReason.REST
+        }
+        environment.metrics.connectionOpening(reason)
+        return openLink.invoke(member, customer, events)
+    }
+
     private fun wakeTimers() {
         maintenanceTimer.wake()
         pollTimer.wake()
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementRecorder.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementRecorder.kt
@@ -3,6 +3,7 @@
 import dev.kumquatknot.core.interactive.SessionReply
 import dev.kumquatknot.core.interactive.StatementResult
 import dev.kumquatknot.proxy.event.Event
+import dev.kumquatknot.proxy.metric.InteractiveMetrics
 
 /**
  * Logs and counts the answers to statements that needed a member. All rejections are logged. Successes are logged up
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/limit/FleetLimiter.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/limit/FleetLimiter.kt
@@ -18,10 +18,10 @@
 import dev.kumquatknot.proxy.fleet.PeerMessage
 import dev.kumquatknot.proxy.fleet.PeerNetwork
 import dev.kumquatknot.proxy.interactive.Cancel
-import dev.kumquatknot.proxy.interactive.InteractiveMetrics
 import dev.kumquatknot.proxy.interactive.OperationLimiter
 import dev.kumquatknot.proxy.interactive.Schedule
 import dev.kumquatknot.proxy.interactive.StatementCall
+import dev.kumquatknot.proxy.metric.InteractiveMetrics
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CustomerOperations.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/metric/CustomerOperations.kt
@@ -1,4 +1,4 @@
-package dev.kumquatknot.proxy.interactive
+package dev.kumquatknot.proxy.metric
 
 import dev.kumquatknot.core.customer.CustomerName
 import io.prometheus.metrics.model.registry.Collector
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveMetrics.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/metric/InteractiveMetrics.kt
@@ -1,4 +1,4 @@
-package dev.kumquatknot.proxy.interactive
+package dev.kumquatknot.proxy.metric
 
 import dev.kumquatknot.core.configuration.Rank
 import dev.kumquatknot.core.customer.CustomerName
@@ -6,7 +6,6 @@
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.ReadConsistency
 import dev.kumquatknot.core.interactive.RejectionCode
-import dev.kumquatknot.proxy.metric.exposition
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
@@ -52,6 +51,21 @@
         counter("kumquatknot_failover_orders_total", "Orders to fail over, by reason", "reason")
     }
 
+    private val storeCalls by lazy {
+        counter(
+            "kumquatknot_store_calls_total",
+            "Calls to the platform's store, by purpose and kind of call",
+            "purpose",
+            "call",
+        )
+    }
+    private val polls by lazy {
+        counter("kumquatknot_member_polls_total", "Polls of members, by purpose", "purpose")
+    }
+    private val openings by lazy {
+        counter("kumquatknot_member_connections_opened_total", "Connections opened to members, by reason", "reason")
+    }
+
     /** The series of each class of statements, as a lookup by label values costs more than the observation. */
     private val series = ConcurrentHashMap<StatementClass, StatementSeries>()
 
@@ -75,6 +89,21 @@
     public fun customerOperation(customer: CustomerName, isAdmitted: Boolean): Unit =
         customers.record(customer, isAdmitted)
 
+    /** Counts a call to the store. */
+    public fun storeCalled(purpose: StorePurpose, call: StoreCall) {
+        storeCalls.labelValues(purpose.label, call.label).inc()
+    }
+
+    /** Counts a poll of a member. */
+    public fun memberPolled(purpose: PollPurpose) {
+        polls.labelValues(purpose.label).inc()
+    }
+
+    /** Counts an attempt to open a connection to a member. */
+    public fun connectionOpening(reason: OpeningReason) {
+        openings.labelValues(reason.label).inc()
+    }
+
     /** Returns all metrics in the text format of Prometheus. */
     public fun exposition(): String = registry.exposition()
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/NodeEnvironment.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/NodeEnvironment.kt
@@ -2,6 +2,7 @@
 
 import dev.kumquatknot.core.time.Clock
 import dev.kumquatknot.proxy.event.EventLog
+import dev.kumquatknot.proxy.metric.InteractiveMetrics
 import kotlin.time.Duration
 
 /**
@@ -16,6 +17,7 @@
     val openLink: OpenMemberLink,
     val events: EventLog,
     val limits: InteractiveLimits,
+    val metrics: InteractiveMetrics = InteractiveMetrics(),
 ) {
     fun now(): Duration = clock.elapsed()
 }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/CallerKeySpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/CallerKeySpec.kt
@@ -27,6 +27,7 @@
 import dev.kumquatknot.proxy.limit.FleetLimiter
 import dev.kumquatknot.proxy.limit.LimiterEnvironment
 import dev.kumquatknot.proxy.limit.LimiterPlaces
+import dev.kumquatknot.proxy.metric.InteractiveMetrics
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/limit/FleetLimiterSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/limit/FleetLimiterSpec.kt
@@ -15,9 +15,9 @@
 import dev.kumquatknot.core.interactive.StatementAccess
 import dev.kumquatknot.core.interactive.StatementResult
 import dev.kumquatknot.proxy.event.Event
-import dev.kumquatknot.proxy.interactive.InteractiveMetrics
 import dev.kumquatknot.proxy.interactive.StatementCall
 import dev.kumquatknot.proxy.interactive.VirtualLoop
+import dev.kumquatknot.proxy.metric.InteractiveMetrics
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
