Simulate forwarding under random failures, drop idle transactions from the server's table

Cause: a transaction that was rolled back for being idle stayed in the server's table until its VM asked for it again, and that VM was pinged meanwhile. Change: such a transaction is removed at once; a later statement does not begin it again, as it is not marked as the first one. A simulation of four VMs with random resets, isolations and refused connections checks that nothing runs twice and that callers are told the truth; a VM that was cut off finds what was sent to it meanwhile.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingServer.kt
@@ -62,7 +62,10 @@
 
     /** Rolls back the open transactions that run no statement. */
     fun interruptTransactions() {
-        callers.values.flatMap { it.transactions.values }.filter { !it.isServing }.forEach { it.abandon() }
+        callers.keys.toList().forEach { vm ->
+            val idle = callers[vm]?.transactions.orEmpty().filterValues { !it.isServing }
+            idle.keys.forEach { abandon(vm, it) }
+        }
     }
 
     private fun run(vm: VmName, payload: RunPayload) {
@@ -88,16 +91,17 @@
             open = ServedTransaction(executor.begin(route, payload.readOnly), environment)
             caller.transactions[payload.transaction] = open
         }
-        if (open == null || open.hasFailed || open.isServing) {
+        if (open == null || open.isServing) {
             abandon(vm, payload.transaction)
             val outcome = rejectedOutcome(RejectionCode.ABORTED, "the transaction is not open", TransactionState.FAILED)
             return answer(vm, payload.number, outcome, RejectionCode.ABORTED)
         }
-        open.run(payload, configuration().transactionIdle) { outcome ->
+        open.run(payload) { outcome ->
             if (outcome.reply.state != TransactionState.OPEN) caller.transactions.remove(payload.transaction)
             answer(vm, payload.number, outcome, codeIfTooLarge(payload.commits, RejectionCode.ABORTED)) {
                 abandon(vm, payload.transaction)
             }
+            open.startIdleTimer(configuration().transactionIdle) { abandon(vm, payload.transaction) }
             endWatchIfIdle(caller)
         }
     }
@@ -191,23 +195,20 @@
     private val environment: NodeEnvironment,
 ) {
     private var idleTimer: Cancel? = null
+    private var hasEnded = false
 
     /** Whether a statement runs. */
     var isServing = false
         private set
 
-    val hasFailed: Boolean get() = transaction.failed
-
-    /** Runs the statement of [payload]; afterwards the transaction may be idle for [idleLimit]. */
-    fun run(payload: TransactionStatementPayload, idleLimit: Duration, done: (StatementOutcome) -> Unit) {
+    /** Runs the statement of [payload]. */
+    fun run(payload: TransactionStatementPayload, done: (StatementOutcome) -> Unit) {
         idleTimer?.invoke()
         isServing = true
         val call = payload.call.toCall(transaction.route, environment.now())
         val ended = { outcome: StatementOutcome ->
             isServing = false
-            if (outcome.reply.state == TransactionState.OPEN && idleLimit.isFinite()) {
-                idleTimer = environment.schedule(idleLimit) { transaction.abandon() }
-            }
+            if (outcome.reply.state != TransactionState.OPEN) hasEnded = true
             done(outcome)
         }
         if (payload.commits) {
@@ -217,8 +218,14 @@
         }
     }
 
+    /** Calls [onIdle] after [limit] without a statement, unless the transaction has ended. */
+    fun startIdleTimer(limit: Duration, onIdle: () -> Unit) {
+        if (!hasEnded && limit.isFinite()) idleTimer = environment.schedule(limit, onIdle)
+    }
+
     /** Rolls the transaction back. */
     fun abandon() {
+        hasEnded = true
         idleTimer?.invoke()
         transaction.abandon()
     }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/FakeFleet.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/FakeFleet.kt
@@ -16,8 +16,9 @@
     /** All messages that were delivered, with their senders. */
     val delivered = ArrayList<Pair<VmName, PeerMessage>>()
 
-    /** VMs that are frozen: their links stay, but nothing reaches them or comes from them. */
+    /** VMs that are cut off: their links stay, but nothing reaches them or comes from them until [thaw]. */
     val frozen = HashSet<VmName>()
+    private val delayed = HashMap<VmName, MutableList<() -> Unit>>()
 
     /** VMs to which no link can be opened, which takes a while to be known. */
     val unconnectable = HashSet<VmName>()
@@ -34,8 +35,22 @@
     fun cut(first: VmName, second: VmName) {
         val pair = setOf(first, second)
         generations[pair] = generation(pair) + 1
-        loop.schedule(LATENCY) { endpoints[first]?.listeners?.forEach { it.disconnected(second) } }
-        loop.schedule(LATENCY) { endpoints[second]?.listeners?.forEach { it.disconnected(first) } }
+        loop.schedule(LATENCY) { reportLoss(first, second) }
+        loop.schedule(LATENCY) { reportLoss(second, first) }
+    }
+
+    /** Ends the isolation of [vm]; what was on its way to it or from it arrives now, in order. */
+    fun thaw(vm: VmName) {
+        frozen -= vm
+        delayed.remove(vm)?.forEach { it() }
+    }
+
+    private fun reportLoss(vm: VmName, lost: VmName) {
+        if (vm in frozen) {
+            delayed.getOrPut(vm) { ArrayList() } += { reportLoss(vm, lost) }
+        } else {
+            endpoints[vm]?.listeners?.forEach { it.disconnected(lost) }
+        }
     }
 
     private fun generation(pair: Set<VmName>) = generations[pair] ?: 0
@@ -60,14 +75,25 @@
             val pair = setOf(this.vm, vm)
             val generation = generation(pair)
             val decoded = PeerCodec.decode(Unpooled.copiedBuffer(frame))
-            loop.schedule(LATENCY) { if (generation == generation(pair)) deliver(vm, decoded) }
+            loop.schedule(LATENCY) { leave(vm, decoded, generation) }
             return true
         }
 
-        private fun deliver(vm: VmName, message: PeerMessage) {
-            if (vm in frozen || this.vm in frozen) return
-            delivered += this.vm to message
-            endpoints[vm]?.listeners?.forEach { it.received(this.vm, message) }
+        private fun leave(vm: VmName, message: PeerMessage, generation: Int) {
+            when {
+                this.vm in frozen -> delayed.getOrPut(this.vm) { ArrayList() } += { leave(vm, message, generation) }
+                generation == generation(setOf(this.vm, vm)) -> arrive(vm, message)
+            }
+        }
+
+        /** A cut-off VM finds what has arrived meanwhile, even on a link that the other one has dropped since. */
+        private fun arrive(vm: VmName, message: PeerMessage) {
+            if (vm in frozen) {
+                delayed.getOrPut(vm) { ArrayList() } += { arrive(vm, message) }
+            } else {
+                delivered += this.vm to message
+                endpoints[vm]?.listeners?.forEach { it.received(this.vm, message) }
+            }
         }
 
         fun drop(vm: VmName) {
@@ -75,7 +101,7 @@
             val pair = setOf(this.vm, vm)
             generations[pair] = generation(pair) + 1
             listeners.forEach { it.disconnected(vm) }
-            if (vm !in frozen) endpoints[vm]?.listeners?.forEach { it.disconnected(this.vm) }
+            reportLoss(vm, this.vm)
         }
     }
 
