--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingSimulationSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingSimulationSpec.kt
@@ -20,8 +20,8 @@
 
 /**
  * Random operations of four VMs that forward to each other, while links reset and VMs are cut off for a while. Nothing
- * may run twice, and what callers are told must be true: a completed write has run, one that is refused has not, and only
- * one in doubt may or may not have.
+ * may run twice, and what callers are told must be true: a completed write has run, one that is refused has not, and
+ * only one in doubt may or may not have.
  */
 class ForwardingSimulationSpec {
     private class Outcomes {
