Wait for a customer's busy connection before another customer loses one

A large customer that needs a second connection for a moment closed the only one of a small customer. Its statement now waits for the busy connection for at most 30 ms while no request waits for a slot.

Openings count as used slots for at most 100 ms, so that a silent member keeps no slot in use.

Checked: specs of the pool, its parts and the load; sessions and shared connections.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -75,10 +75,6 @@
         belief.claim(members.singleOrNull { it.claimsPrimary }?.name)
     }
 
-    private fun newPool(member: DiscoveredMember) = MemberPool(member, environment, connections, ::recordReply) {
-        role(pools[member.name]?.member ?: member)
-    }
-
     /** Closes idle connections of customers that are not in [customers]. */
     fun updateCustomers(customers: CustomerDirectory) = pools.values.forEach { it.updateCustomers(customers) }
 
@@ -156,6 +152,10 @@
     private fun successors(): List<MemberPool> = pools.values.filter { !leads(it) && it.leavingSince == null }
         .sortedWith(compareBy({ it.health.failures }, { it.distance == Duration.ZERO }, { it.distance }))
 
+    private fun newPool(member: DiscoveredMember) = MemberPool(member, environment, connections, ::recordReply) {
+        role(pools[member.name]?.member ?: member)
+    }
+
     private fun candidate(pool: MemberPool, now: Duration) = ReadCandidate(
         name = pool.member.name,
         primary = leads(pool),
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberPool.kt
@@ -101,6 +101,8 @@
         if (closed) return request.refused(PoolRefusal.CLOSED)
         adjustSlots()
         admission.submit(request)
+        // Statements that waited patiently for a connection of their customer must not keep others from a slot.
+        if (kept.hasCustomers && waiters.isNotEmpty() && admission.hasQueue) openMore()
     }
 
     /** Drops [request] if it waits for a slot or a connection: it is then neither granted nor refused. */
@@ -181,7 +183,7 @@
             opener.recordFailure()
             if (opener.opening.isEmpty()) waiters.failAll()
         }
-        adjustSlots()
+        if (!opened) adjustSlots()
     }
 
     /** Tries again soon while work waits: other VMs close connections to a full member whenever they are idle. */
@@ -216,6 +218,8 @@
             request.granted(found, slot)
         }
         openMore()
+        if (request.customer == null || waiters.isEmpty()) return
+        environment.schedule(OWN_CONNECTION_WAIT) { if (waiters.isNotEmpty()) openMore() }
     }
 
     private fun refuse(request: PoolRequest, slot: PoolSlot) {
@@ -256,12 +260,12 @@
     }
 
     private fun situation(forItself: Boolean = false): ConnectionSituation {
-        // A statement that waits for a busy connection holds its slot unused, so it waits only while others are free.
-        val hasFreeSlots = admission.freeSlots > 0
+        // A statement that waits for a busy connection holds its slot unused, so it waits only while nobody needs it.
+        val hasQueue = admission.hasQueue
         val work = waiters.demands(
             // Polls wait for one of the customers' connections, which return soon unless transactions hold them all.
             opensForPoll = { waited -> !kept.hasCustomers || waited >= POLL_OPENING_DELAY },
-            isPatient = { waited -> hasFreeSlots && waited < OWN_CONNECTION_WAIT },
+            isPatient = { waited -> !hasQueue && waited < OWN_CONNECTION_WAIT },
         )
         return ConnectionSituation(
             idle = kept.idle.map { it.customer },
@@ -302,7 +306,8 @@
     private fun adjustSlots() {
         if (closed) return
         val current = role()
-        val withoutRequest = opener.opening.size - waiters.statements
+        val handshakes = opener.opening.count { environment.now() - it.startedAt < HANDSHAKE_TIME }
+        val withoutRequest = handshakes - waiters.statements
         val reserved = if (current == PoolRole.SHARED) 0 else withoutRequest.coerceAtLeast(0)
         admission.adjust(share.slots(current, member.slots), reserved)
     }
@@ -343,6 +348,9 @@
         /** Time after which a poll gets a connection of its own; longer than most statements use a customer's one. */
         val POLL_OPENING_DELAY = 100.milliseconds
 
+        /** Time for which an opening counts as a used slot, so that a silent member does not keep slots in use. */
+        val HANDSHAKE_TIME = 100.milliseconds
+
         /** Time for which a statement waits for a busy connection of its customer; most statements end within it. */
         val OWN_CONNECTION_WAIT = 30.milliseconds
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/PoolAdmission.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/PoolAdmission.kt
@@ -27,6 +27,9 @@
     /** Slots within the current limit that no request uses. */
     val freeSlots: Int get() = queue.load().let { (it.limit - it.inFlight).coerceAtLeast(0) }
 
+    /** Whether requests wait for a slot. */
+    val hasQueue: Boolean get() = queue.load().queued.values.any { it > 0 }
+
     /** Estimated time that a new request would wait for a slot. */
     fun expectedWait(): Duration {
         val load = queue.load()
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/pool/MemberPoolSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/pool/MemberPoolSpec.kt
@@ -89,6 +89,35 @@
         }
     }
 
+    @Nested
+    inner class `a statement whose customer has a busy connection` {
+        private fun fullFixture() = fixture(maximum = 8).also { fixture ->
+            listOf("other", "large").forEach(fixture::runOnce)
+            repeat(2) { fixture.runOnce("other-$it") }
+        }
+
+        /** Guards against second connections of large customers that take the only ones of small customers. */
+        @Test
+        fun `waits for it instead of taking the place of another customer`() {
+            val fixture = fullFixture()
+            val first = fixture.use("large")
+            val second = fixture.use("large")
+            fixture.loop.advance(10.milliseconds)
+            expectThat(second.isWaiting).isTrue()
+            first.end()
+            expectThat(second.link).isEqualTo(first.link)
+        }
+
+        @Test
+        fun `takes the place of another customer if a transaction holds it for long`() {
+            val fixture = fullFixture()
+            fixture.use("large").leaveSlot()
+            val second = fixture.use("large")
+            fixture.loop.advance(35.milliseconds)
+            expectThat(second.link).isNotNull()
+        }
+    }
+
     @Nested
     inner class `a cancelled request` {
         @Test
@@ -178,6 +207,18 @@
             fixture.loop.advance(100.milliseconds)
             expectThat(uses.all { it.link != null }).isTrue()
         }
+
+        /** Guards against slots that stay reserved for openings that a silent member never answers. */
+        @Test
+        fun `counts an opening as a used slot for a limited time`() {
+            val fixture = fixture()
+            repeat(PoolFixture.SLOTS) { fixture.runOnce("customer-$it") }
+            fixture.member.openingTime = 5.seconds
+            fixture.pool.cancel(fixture.use("other").request)
+            fixture.maintain(100.milliseconds)
+            val uses = List(PoolFixture.SLOTS) { fixture.use("customer-$it") }
+            expectThat(uses.all { it.link != null }).isTrue()
+        }
     }
 
     @Nested
