Wait for no settled count where the fleet ran before, search limits under a cut of all links

A restart of all VMs divided the limits by 300 for four seconds, though the number of VMs was known from the registrations of the former processes. A holder whose own count was recorded before a long suspension divided by one.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/TokenHolder.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/TokenHolder.kt
@@ -11,11 +11,14 @@
  *
  * @property limiters the limiter VMs in order; the first three count.
  * @property registered number of registered VMs; 0 while it is unknown.
+ * @property isReturning whether this VM's name was registered before this process started, so that the number of VMs is
+ * that of a fleet that ran before.
  * @property send sends a report to a limiter; returns false if that cannot be reached.
  */
 public class LimiterAccess(
     public val limiters: () -> List<VmName>,
     public val registered: () -> Int,
+    public val isReturning: () -> Boolean = { false },
     public val send: (limiter: VmName, report: LimitReport) -> Boolean,
 )
 
@@ -42,6 +45,9 @@
     private val reportedRegistered = HighestCount()
     private val decisions = ArrayDeque<() -> Unit>()
     private var isDeciding = false
+
+    /** The first three limiters in order, read in each [advance]. */
+    private var wanted = emptyList<VmName>()
     private var countKnownSince: Duration? = null
     private var lastReport = 0L
 
@@ -75,7 +81,7 @@
         if (grant.run != run) return
         reportedRegistered.record(now, grant.registered)
         val link = links.getOrPut(limiter) { LimiterLink() }
-        link.isSilent = false
+        link.silentSince = null
         val isOtherProcess = link.stamp?.run != grant.stamp.run
         if (isOtherProcess || grant.stamp.time > (link.stamp?.time ?: -Duration.INFINITE)) {
             link.stamp = grant.stamp
@@ -90,9 +96,9 @@
 
     /** The link to [limiter] was lost; requests that it has not answered stay so. */
     public fun disconnected(now: Duration, limiter: VmName) {
-        links[limiter]?.isSilent = true
+        links[limiter]?.silentSince = -Duration.INFINITE
         customers.forEach { (name, tokens) -> if (tokens.dropRequests(limiter)) serve(now, name, tokens) }
-        callDecisions()
+        advance(now)
     }
 
     /** Does what is due: reports, the end of waits, the return of tokens. */
@@ -100,13 +106,15 @@
         if (customers.isEmpty()) return
         seenRegistered.record(now, access.registered())
         if (countKnownSince == null && seenRegistered.highest(now) > 0) countKnownSince = now
-        if (delegations.direct(now, wantedLimiters())) onLimitersChanged(delegations.limiters)
+        wanted = access.limiters().distinct().take(Delegations.THIRDS)
+        if (delegations.direct(now, wanted)) onLimitersChanged(delegations.limiters)
         updateOwnShare(now)
         customers.forEach { (name, tokens) -> if (tokens.isActive) advance(now, name, tokens) }
         delegations.limiters.forEach { limiter ->
             val link = links.getOrPut(limiter) { LimiterLink() }
             val isDue = now >= link.reportedAt + LimitTimes.REPORT_INTERVAL
-            if (isDue || delegations.hasLapsed(now, limiter) && link.echo(now) != null) report(now, limiter)
+            val isDelegable = delegations.hasLapsed(now, limiter) && link.echo(now) != null
+            if (isDue || isDelegable) report(now, limiter)
         }
         forgetReports(now)
         callDecisions()
@@ -122,12 +130,15 @@
         return minOf(nextReport ?: (now + LimitTimes.REPORT_INTERVAL), nextOfCustomers ?: Duration.INFINITE)
     }
 
-    private fun wantedLimiters() = access.limiters().distinct().take(Delegations.THIRDS)
-
-    private fun answeringLimiters() = wantedLimiters().filter { links[it]?.isSilent != true }
+    /** The limiters that may be asked. Without one that answers, those count that have been silent for a short time. */
+    private fun usableLimiters(now: Duration): List<VmName> {
+        return wanted.filter { links[it]?.silentSince == null }.ifEmpty {
+            wanted.filter { now - (links[it]?.silentSince ?: now) < LimitTimes.LONGEST_SILENCE }
+        }
+    }
 
     private fun advance(now: Duration, name: CustomerName, tokens: CustomerTokens) {
-        tokens.dropOverdue(now - LimitTimes.REQUEST_TIMEOUT).forEach { links[it]?.isSilent = true }
+        tokens.dropOverdue(now - LimitTimes.REQUEST_TIMEOUT).forEach { links[it]?.fellSilent(now) }
         tokens.dropBatches(now + LimitTimes.RETURN_BEFORE_LAPSE).forEach { batch ->
             val returned = ReturnedTokens(name, batch.tokens, batch.report)
             if (batch.validUntil > now) report(now, batch.limiter, returned = listOf(returned))
@@ -146,7 +157,7 @@
             while (tokens.waiting.isNotEmpty() && own.take(now, name, 1) == 1) admitFirst(now, tokens)
         }
         request(now, name, tokens)
-        val limiters = answeringLimiters()
+        val limiters = usableLimiters(now)
         if (!tokens.awaits(limiters)) {
             tokens.waiting.forEach { refuse(now, tokens, it) }
             tokens.waiting.clear()
@@ -158,11 +169,11 @@
         do {
             val expected = tokens.held + tokens.requested
             val isShort = tokens.waiting.size > expected || expected < ahead / 2
-            val limiter = if (isShort) tokens.nextLimiter(now, answeringLimiters()) else null
+            val limiter = if (isShort) tokens.nextLimiter(now, usableLimiters(now)) else null
             if (limiter != null) {
-                val wanted = tokens.waiting.size + ahead - expected
-                report(now, limiter, listOf(TokenDemand(name, wanted)))
-                if (links[limiter]?.isSilent == false) tokens.requested(now, limiter, lastReport, wanted)
+                val missing = tokens.waiting.size + ahead - expected
+                val isSent = report(now, limiter, listOf(TokenDemand(name, missing)))
+                if (isSent) tokens.requested(now, limiter, lastReport, missing)
             }
         } while (limiter != null)
     }
@@ -175,7 +186,7 @@
         limiter: VmName,
         demands: List<TokenDemand> = emptyList(),
         returned: List<ReturnedTokens> = emptyList(),
-    ) {
+    ): Boolean {
         val link = links.getOrPut(limiter) { LimiterLink() }
         val echo = link.echo(now)
         val thirds = if (echo == null) 0 else delegations.delegate(now, limiter)
@@ -186,14 +197,18 @@
         if (demands.isNotEmpty()) sentReports[lastReport] = now
         val seen = seenRegistered.highest(now)
         val report = LimitReport(run, lastReport, echo, thirds, divisor(now), seen, demands, returned)
-        if (!access.send(limiter, report)) link.isSilent = true
+        val isSent = access.send(limiter, report)
+        if (!isSent) link.silentSince = -Duration.INFINITE
+        return isSent
     }
 
     private fun divisor(now: Duration): Int {
+        // The numbers that were recorded before a suspension of this VM no longer count.
+        seenRegistered.record(now, access.registered())
         val highest = maxOf(seenRegistered.highest(now), reportedRegistered.highest(now))
         val since = countKnownSince
-        val isSettled = since != null && now >= since + LimitTimes.COUNT_SETTLING
-        return if (isSettled) highest.coerceAtLeast(1) else maxOf(highest, LimitTimes.LARGEST_FLEET)
+        val isSettled = since != null && (access.isReturning() || now >= since + LimitTimes.COUNT_SETTLING)
+        return if (isSettled && highest > 0) highest else maxOf(highest, LimitTimes.LARGEST_FLEET)
     }
 
     private fun updateOwnShare(now: Duration) = own.changeShare(now, delegations.ownShare(now) / divisor(now))
@@ -205,7 +220,7 @@
 
     private fun refuse(now: Duration, tokens: CustomerTokens, operation: WaitingOperation) {
         val untilEntitled = (delegations.beginning - now).coerceAtLeast(Duration.ZERO)
-        val available = tokens.timeUntilToken(now, answeringLimiters()) ?: LimitTimes.REPORT_INTERVAL
+        val available = tokens.timeUntilToken(now, usableLimiters(now)) ?: LimitTimes.REPORT_INTERVAL
         val ownRate = tokens.limit.operationsPerSecond / divisor(now)
         val retryAfter = tokens.retryAfter(now, maxOf(untilEntitled, available), ownRate)
         decide(operation, retryAfter)
@@ -235,7 +250,13 @@
         var stamp: LimiterStamp? = null
         var stampReceivedAt = -Duration.INFINITE
         var reportedAt = -Duration.INFINITE
-        var isSilent = false
+
+        /** Time since which requests stay unanswered; null if the limiter answers. */
+        var silentSince: Duration? = null
+
+        fun fellSilent(now: Duration) {
+            silentSince = silentSince ?: now
+        }
 
         fun echo(now: Duration) = stamp?.takeIf { now - stampReceivedAt <= LimitTimes.LONGEST_ECHO_AGE }
     }
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitBoundSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitBoundSpec.kt
@@ -80,11 +80,12 @@
             { simulation.vms.forEach(::disturbViews) },
             { exchangeLimiters() },
             { burst() },
+            { time -> isolateAll(time * 2) },
             { if (simulation.vms.size < size + size / 30) disturbViews(simulation.add()) },
         )
 
         private fun fault() {
-            faults.random(random)(8.seconds * random.nextDouble())
+            faults.random(random)(15.seconds * random.nextDouble())
             simulation.after(pause * random.nextDouble()) { fault() }
         }
 
@@ -103,6 +104,17 @@
             simulation.after(9.seconds) { simulation.vms.forEach(::disturbViews) }
         }
 
+        /** Cuts all links until each VM has what its own entitlement gives it, and uses that everywhere at once. */
+        private fun isolateAll(time: Duration) {
+            val before = simulation.lossShare
+            simulation.lossShare = 1.0
+            simulation.after(time) {
+                alive().forEach { vm -> LIMITS.keys.forEach { vm.submit(it) } }
+                burst()
+                simulation.after(1.seconds) { simulation.lossShare = before.takeIf { it < 1.0 } ?: 0.0 }
+            }
+        }
+
         private fun burst() = LIMITS.forEach { (customer, limit) ->
             repeat(simulation.budget.bound(limit).toInt() / 2) { alive().random(random).submit(customer) }
         }
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitSimulation.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitSimulation.kt
@@ -89,6 +89,9 @@
 
         /** The VMs in the order in which this one sees them as limiters. */
         var order: () -> List<VmName> = { vms.filter { it.isAlive }.take(3).map { it.name } }
+
+        /** Whether this is not the first process of the VM, or the fleet ran before. */
+        var isReturning = false
         private var run = 0L
         private var origin = 0.seconds
         private var frozenUntil = 0.seconds
@@ -106,7 +109,8 @@
             origin = 100.seconds * random.nextDouble()
             wakeAt = Duration.INFINITE
             limiter = LimiterState(run, budget) { registered() }
-            holder = TokenHolder(run, clock, budget, LimiterAccess({ order() }, { registered() }, ::send))
+            holder =
+                TokenHolder(run, clock, budget, LimiterAccess({ order() }, { registered() }, { isReturning }, ::send))
             limiter.configure(clock, limits)
             holder.configure(clock, limits)
             wake()
@@ -114,6 +118,7 @@
 
         fun kill() {
             isAlive = false
+            isReturning = true
         }
 
         fun freeze(time: Duration) {
@@ -125,12 +130,13 @@
             holder.configure(clock, next)
         }
 
-        fun submit(customer: CustomerName) = whenThawed {
+        fun submit(customer: CustomerName, decided: (Duration?) -> Unit = {}) = whenThawed {
             if (!isAlive) return@whenThawed
             val account = accounts.getValue(customer)
             account.offered++
             holder.admit(clock, customer, 63.milliseconds) { retryAfter ->
                 if (retryAfter == null) account.admitted(now) else account.refused(retryAfter)
+                decided(retryAfter)
             }
             wake()
         }
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitUseSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitUseSpec.kt
@@ -120,6 +120,50 @@
         }
     }
 
+    @Nested
+    inner class `a start of all VMs` {
+        @Test
+        fun `serves the usual load after the time for which former delegations last and the count settles`() {
+            listOf(30, 87).forEach { size ->
+                listOf(false, true).forEach { isReturning ->
+                    val fleet = fleet(size)
+                    fleet.vms.forEach { it.isReturning = isReturning }
+                    fleet.submitAll(1.0) { fleet.vms.random(fleet.random) }
+                    val refused = List(8) { fleet.underUse(1) }
+                    val shown = refused.map { "%.2f".format(it) }
+                    println("$size VMs after a start, known before: $isReturning, refused by second: $shown")
+                    expectThat(refused[if (isReturning) 6 else 7]).isLessThan(0.05)
+                    fleet.expectNoViolation()
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class `a refused caller` {
+        @Test
+        fun `that comes back when it was told is mostly admitted then`() {
+            val customer = CustomerName("customer-3")
+            val fleet = fleet(87)
+            fleet.advance(30.seconds)
+            val places = fleet.vms.take(18)
+            var attempts = 0
+            var served = 0
+
+            fun attempt(vm: LimitSimulation.Vm) {
+                attempts++
+                vm.submit(customer) { retryAfter ->
+                    if (retryAfter == null) served++ else fleet.after(retryAfter) { attempt(vm) }
+                }
+            }
+            repeat(BURST) { attempt(places.random(fleet.random)) }
+            fleet.advance(20.seconds)
+            println("a burst of $BURST operations: $served served within 20 s in $attempts attempts")
+            expectThat(served).isGreaterThan(BURST - 1)
+            expectThat(attempts).isLessThan(BURST * 3)
+        }
+    }
+
     @Nested
     inner class `the exchange` {
         @Test
@@ -144,5 +188,6 @@
         const val CUSTOMERS = 86
         const val OPERATIONS = 565.0
         const val HEADROOM = 1.6
+        const val BURST = 300
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/limit/FleetLimiter.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/limit/FleetLimiter.kt
@@ -32,12 +32,14 @@
  * @property run random number of this process.
  * @property limiters the limiter VMs in order, of which the first three count; this VM may be one of them.
  * @property registered number of registered VMs, this one included; 0 while it is unknown.
+ * @property isReturning whether this VM's name was registered before this process started.
  */
 internal class LimiterPlaces(
     val self: VmName,
     val run: Long,
     val limiters: () -> List<VmName>,
     val registered: () -> Int,
+    val isReturning: () -> Boolean = { false },
 )
 
 /**
@@ -69,7 +71,7 @@
         run = places.run,
         startedAt = now(),
         budget = budget,
-        access = LimiterAccess(places.limiters, places.registered, ::send),
+        access = LimiterAccess(places.limiters, places.registered, places.isReturning, ::send),
         onLimitersChanged = ::logLimiters,
     )
     private val refusals = RefusalLog(environment.events)
