--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/SessionState.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/SessionState.kt
@@ -35,9 +35,8 @@
      */
     public fun prepareFor(wanted: Map<String, String>, plan: StatementPlan?): PreparedConnection {
         val isPrepared = plan == null || plan in plans
-        if (!uncertain && isPrepared && plans.size < MAXIMUM_PLANS && values == wanted) {
-            return PreparedConnection(emptyList(), this)
-        }
+        val isUsable = !uncertain && plans.size < MAXIMUM_PLANS
+        if (isUsable && isPrepared && values == wanted) return PreparedConnection(emptyList(), this)
         val reset = uncertain || values.keys.any { it !in wanted } || plans.size >= MAXIMUM_PLANS
         val base = if (reset) ConnectionState() else this
         val changed = wanted.filter { (name, value) -> base.values[name] != value }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/FeedState.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/FeedState.kt
@@ -14,7 +14,7 @@
     val era: StoreEra,
     val changedAt: Long,
 ) {
-    /** Whether the store has been at this state before it was at [revision] of [era]. */
-    fun isOlderThan(era: StoreEra, revision: Long): Boolean =
-        this.era < era || this.era == era && this.revision < revision
+    /** Whether the store was at [revision] of [era] before it was at this state. */
+    fun isNewerThan(era: StoreEra, revision: Long): Boolean =
+        this.era > era || this.era == era && this.revision > revision
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/FeedSubscription.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/FeedSubscription.kt
@@ -121,7 +121,7 @@
         val era = StoreEra(update.era)
         val known = state
         // A source that is behind does not confirm what this VM knows.
-        if (known != null && (era < known.era || era == known.era && update.revision < known.revision)) return null
+        if (known?.isNewerThan(era, update.revision) ?: false) return null
         val isComplete = known != null && known.era == era && update.changedAt <= known.revision
         if (update.isUnchanged && !isComplete) {
             // An update was lost; the source sends the objects when it learns what this VM has.
@@ -138,9 +138,7 @@
     /** Records an [answer] of the store to this VM's own watch, and returns the state if its objects are news. */
     fun record(answer: WatchAnswer): FeedState? {
         val known = state
-        val isOlder = known != null &&
-            !known.isOlderThan(answer.era, answer.revision) &&
-            (known.era != answer.era || known.revision != answer.revision)
+        val isOlder = known?.isNewerThan(answer.era, answer.revision) ?: false
         // The answer to a call that was sent before the watch was paused. Otherwise the store itself tells what holds.
         if (isOlder && !watchesStore) return null
         val objects = answer.objects ?: known?.takeIf { it.era == answer.era }?.objects ?: return null
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/SharedFeed.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/feed/SharedFeed.kt
@@ -14,8 +14,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Objects of one [kind] for this VM, from its own watch of the store or from another VM that watches it. All calls run on
- * the node's event loop, except of [maximumWait].
+ * Objects of one [kind] for this VM, from its own watch of the store or from another VM that watches it. All calls run
+ * on the node's event loop, except of [maximumWait].
  *
  * @param isShared whether VMs share feeds; otherwise each watches the store itself.
  * @param sources the VMs that watch the store for this VM, in the order of preference.
@@ -41,8 +41,8 @@
     }
 
     /**
-     * Longest wait of this VM's watch for changes. With subscribers it is short enough for the age of the last answer to
-     * stay below [FeedSubscription.MAXIMUM_AGE]; without, the store's price counts.
+     * Longest wait of this VM's watch for changes. With subscribers it is short enough for the age of the last answer
+     * to stay below [FeedSubscription.MAXIMUM_AGE]; without, the store's price counts.
      */
     @Volatile
     var maximumWait: Duration = Duration.INFINITE
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FeedPayloads.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FeedPayloads.kt
@@ -1,3 +1,4 @@
+@file:Suppress("MagicNumber") // The numbers of fields are the encoding itself.
 @file:OptIn(ExperimentalSerializationApi::class)
 
 package dev.kumquatknot.proxy.fleet
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -49,7 +49,8 @@
  *
  * All calls and scheduled tasks run on one event loop and must not block.
  *
- * @param isHome whether this VM is a home VM of a group, which polls the group's members also while it does not use them.
+ * @param isHome whether this VM is a home VM of a group, which polls the group's members also while it does not use
+ * them.
  */
 public class InteractiveNode(
     private val place: VmPlace,
@@ -151,8 +152,8 @@
     }
 
     /**
-     * Opens a session on [database] for the caller with [key] at [peer]; [done] is called once. A node that has just started
-     * waits for its first configuration, since the databases are unknown until then.
+     * Opens a session on [database] for the caller with [key] at [peer]; [done] is called once. A node that has just
+     * started waits for its first configuration, since the databases are unknown until then.
      */
     public fun open(database: String, key: CallerKey?, peer: SessionPeer, done: (SessionOpening) -> Unit) {
         if (isInitialized) return done(openNow(database, key, peer))
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/MemberPool.kt
@@ -176,7 +176,7 @@
 
     /** Whether requests wait, a connection is being opened or more are idle than are kept. */
     val needsMaintenance: Boolean
-        get() = queuedRequests.isNotEmpty() || linkWaiters.isNotEmpty() || opening > 0 || surplusIdle > 0
+        get() = queuedRequests.size + linkWaiters.size + opening > 0 || surplusIdle > 0
 
     private val surplusIdle: Int
         get() = idle.size - if (isScarce) 0 else environment.limits.maximumIdleConnections
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
@@ -103,7 +103,10 @@
     private fun report(changed: List<StoredObject>?, revision: Long, era: StoreEra) =
         onAnswer(WatchAnswer(changed, revision, era, answeredAt ?: clock.elapsed()))
 
-    /** Watches until it is paused, a call fails, the store no longer has the history since [first], or it has left [era]. */
+    /**
+     * Watches until it is paused, a call fails, the store no longer has the history since [first], or it has left
+     * [era].
+     */
     private fun watchFrom(first: Long, era: StoreEra) {
         var revision = first
         while (!shallPause()) {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/capacity/IdleFleetSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/capacity/IdleFleetSpec.kt
@@ -56,8 +56,8 @@
 
 /**
  * Counts what a fleet of three regions costs without load in a minute of simulated time: calls to the store, of which a
- * stale read counts as a tenth, polls of the members and wake-ups. The first VM of each region is the home VM, the first
- * two are candidates for the failover duty and the sources of the feeds.
+ * stale read counts as a tenth, polls of the members and wake-ups. The first VM of each region is the home VM, the
+ * first two are candidates for the failover duty and the sources of the feeds.
  *
  * The watches are those of [VirtualWatcher], which makes the calls of an ObjectWatcher.
  */
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutyFleetSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/DutyFleetSpec.kt
@@ -21,8 +21,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * A fleet of three regions, each with two candidates for a duty, whose VMs die: the holder alone, or all candidates. The
- * ranks are those of a view that does not notice the losses, which is the worst case.
+ * A fleet of three regions, each with two candidates for a duty, whose VMs die: the holder with all candidates, or with
+ * all but one. The ranks are those of a view that does not notice the losses, which is the worst case.
  */
 class DutyFleetSpec {
     private class Fleet(private val random: Random) {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/LoopExecutor.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/LoopExecutor.kt
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Runs the tasks of one VM on virtual time until the VM is lost, in the place of the thread that its store calls block. */
+/** Runs the tasks of one VM on virtual time until it is lost, in place of the thread that its store calls block. */
 internal class LoopExecutor(private val loop: VirtualLoop, private val isLost: () -> Boolean) :
     ScheduledExecutorService by Executors.newSingleThreadScheduledExecutor() {
     override fun execute(command: Runnable) = command.run()
