Let unchanged lists of members wake no timer

Cause: members write to the store all the time, and each list that followed woke the timers of all VMs.

Change: only a changed list wakes them.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -61,6 +61,7 @@
      */
     fun updateMembers(listed: List<DiscoveredMember>, era: StoreEra) {
         val now = environment.now()
+        val before = pools.values.map { it.member }
         val members = history.reconcile(listed, era, now)
         members.forEach { member ->
             val known = pools[member.name]
@@ -74,9 +75,11 @@
             }
         }
         val names = members.map { it.name }.toSet()
-        pools.values.filter { it.member.name !in names && it.missingSince == null }.forEach { it.missingSince = now }
+        val missing = pools.values.filter { it.member.name !in names && it.missingSince == null }
+        missing.forEach { it.missingSince = now }
         belief.claim(members.singleOrNull { it.claimsPrimary }?.name)
-        listener.changed()
+        // Members write to the store all the time, mostly without a change.
+        if (missing.isNotEmpty() || pools.values.map { it.member } != before) listener.changed()
     }
 
     /** Whether this VM served an operation of the group lately. */
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/RestingNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/RestingNodeSpec.kt
@@ -100,6 +100,16 @@
             expectThat(wakeUps).isLessThanOrEqualTo(2 * 60)
         }
 
+        @Test
+        fun `is not woken by lists of members that are all the same`() {
+            start()
+            repeat(60) {
+                node.updateMembers(group.discovered())
+                loop.advance(1.seconds)
+            }
+            expectThat(wakeUps).isLessThanOrEqualTo(2 * 60)
+        }
+
         @Test
         fun `polls while it uses the group and for 5 s after that`() {
             start()
