--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/LimitPayloads.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/LimitPayloads.kt
@@ -1,3 +1,5 @@
+// The numbers are those of the fields on the wire.
+@file:Suppress("MagicNumber")
 @file:OptIn(ExperimentalSerializationApi::class)
 @file:Suppress("MagicNumber") // Field numbers stand for names.
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/ObjectWatcher.kt
@@ -106,7 +106,10 @@
     private fun report(changed: List<StoredObject>?, revision: Long, era: StoreEra, confirmedAt: Duration) =
         onAnswer(WatchAnswer(changed, revision, era, confirmedAt))
 
-    /** Watches until it is paused, a call fails, the store no longer has the history since [first], or it has left [era]. */
+    /**
+     * Watches until it is paused, a call fails, the store no longer has the history since [first], or it has left
+     * [era].
+     */
     private fun watchFrom(first: Long, era: StoreEra) {
         var revision = first
         while (!shallPause()) {
