--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
@@ -34,6 +34,7 @@
  * @param view the registered VMs, as the [node] knows them too.
  * @param limitWindow how the limits of customers are judged.
  * @param eventLoop event loop of the [node].
+ * @param isReturning whether this VM's name was registered before this process started.
  * @param onUnknownRun called when a VM connects that is not in the last list of VMs.
  */
 public class VmExchange(
@@ -42,6 +43,7 @@
     private val view: FleetView,
     private val limitWindow: LimitWindow,
     private val eventLoop: EventLoop,
+    isReturning: () -> Boolean,
     private val onUnknownRun: () -> Unit,
 ) {
     private val environment = node.nodeEnvironment
@@ -73,6 +75,7 @@
         run = self.run,
         limiters = node::limiterVms,
         registered = { view.size },
+        isReturning = isReturning,
     )
 
     /** Number of operations of other VMs that this VM runs. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FeedPayloads.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FeedPayloads.kt
@@ -1,7 +1,6 @@
 // The numbers are those of the fields on the wire.
 @file:Suppress("MagicNumber")
 @file:OptIn(ExperimentalSerializationApi::class)
-@file:OptIn(ExperimentalSerializationApi::class)
 
 package dev.kumquatknot.proxy.fleet
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FleetRegistry.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FleetRegistry.kt
@@ -41,6 +41,11 @@
     private var registered: Registration? = null
     private var isLeaving = false
 
+    /** Whether this VM's name was registered before this process started; false while that is unknown. Thread-safe. */
+    @Volatile
+    public var isReturning: Boolean = false
+        private set
+
     /** Starts to register, and to list periodically. */
     public fun start() {
         executor.execute { events.runStep(STEP) { register(ObjectVersion.ABSENT) } }
@@ -120,7 +125,10 @@
             current == null -> false
             current.isOwn() -> true.also { registered = Registration(store.era, current.version) }
             // The name was registered by an earlier process; one more conflict waits for the next list.
-            expected == ObjectVersion.ABSENT -> register(current.version)
+            expected == ObjectVersion.ABSENT -> {
+                isReturning = true
+                register(current.version)
+            }
             else -> false
         }
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/LimitPayloads.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/LimitPayloads.kt
@@ -1,7 +1,6 @@
 // The numbers are those of the fields on the wire.
 @file:Suppress("MagicNumber")
 @file:OptIn(ExperimentalSerializationApi::class)
-@file:Suppress("MagicNumber") // Field numbers stand for names.
 
 package dev.kumquatknot.proxy.fleet
 
