--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/LimitTimes.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/LimitTimes.kt
@@ -16,8 +16,8 @@
     val REQUEST_TIMEOUT: Duration = 40.milliseconds
 
     /**
-     * Time for which a limiter that leaves requests unanswered is asked again where no other one answers: a VM that used
-     * up its share of the processor pauses for some 100 ms.
+     * Time for which a limiter that leaves requests unanswered is asked again where no other one answers: a VM that
+     * used up its share of the processor pauses for some 100 ms.
      */
     val LONGEST_SILENCE: Duration = 1.seconds
 
