--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
@@ -27,8 +27,8 @@
 public typealias CreateWatcher = (maximumWait: () -> Duration, onAnswer: (WatchAnswer) -> Unit) -> ObjectWatcher
 
 /**
- * What a VM exchanges with the others of its fleet: operations, feeds of the store and the state of their links. All of it
- * takes effect only where the configuration has customers.
+ * What a VM exchanges with the others of its fleet: operations, feeds of the store, tokens for operations of limited
+ * customers and the state of the links. All of it takes effect only where the configuration has customers.
  *
  * @param self this VM as it is registered.
  * @param view the registered VMs, as the [node] knows them too.
