--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/BalancedReadsSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/BalancedReadsSpec.kt
@@ -5,6 +5,8 @@
 import dev.kumquatknot.core.customer.Customer
 import dev.kumquatknot.core.customer.CustomerDirectory
 import dev.kumquatknot.core.customer.CustomerName
+import dev.kumquatknot.core.fleet.FleetView
+import dev.kumquatknot.core.fleet.FleetVm
 import dev.kumquatknot.core.identity.DataCentre
 import dev.kumquatknot.core.identity.Region
 import dev.kumquatknot.core.identity.RequestId
@@ -33,9 +35,12 @@
     private val loop = VirtualLoop()
     private val group = FakeGroup(loop).apply { appliesAtOnce = true }
     private val dataCentres = listOf("a", "b", "c").map(::DataCentre)
+    private val self = FleetVm(VmName("vm"), 1, "127.0.0.1:1", dataCentres[0], 1.0)
     private val node = InteractiveNode(
         VmPlace(dataCentres[0], dataCentres.associateWith { Region("land") }),
         InteractivePorts(loop, loop::schedule, group::open, EventLog(), random = Random(1)::nextDouble),
+        // The home VM of the only region, where there are customers.
+        fleet = FleetView(self).apply { update(listOf(self)) },
     )
     private val key = CallerKey("key")
     private val customers = CustomerDirectory(listOf(Customer(CustomerName("tukan"), setOf(key), limit = null)))
