--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/BalancedReadsSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/BalancedReadsSpec.kt
@@ -35,12 +35,12 @@
     private val loop = VirtualLoop()
     private val group = FakeGroup(loop).apply { appliesAtOnce = true }
     private val dataCentres = listOf("a", "b", "c").map(::DataCentre)
-    private val self = FleetVm(VmName("vm"), 1, "127.0.0.1:1", dataCentres[0], 1.0)
+    private val ownVm = FleetVm(VmName("vm"), 1, "127.0.0.1:1", dataCentres[0], 1.0)
     private val node = InteractiveNode(
         VmPlace(dataCentres[0], dataCentres.associateWith { Region("land") }),
         InteractivePorts(loop, loop::schedule, group::open, EventLog(), random = Random(1)::nextDouble),
         // The home VM of the only region, where there are customers.
-        fleet = FleetView(self).apply { update(listOf(self)) },
+        fleet = FleetView(ownVm).apply { update(listOf(ownVm)) },
     )
     private val key = CallerKey("key")
     private val customers = CustomerDirectory(listOf(Customer(CustomerName("tukan"), setOf(key), limit = null)))
