Ask the limiter of the own region first

Change: the limiters are the first VM of each region, and a VM asks that of its own region first. Which limiter grants a token does not matter for the bound.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/CustomerTokens.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/CustomerTokens.kt
@@ -40,9 +40,11 @@
     /** Counts an admitted operation. */
     fun recordAdmitted(now: Duration) = admitted.record(now)
 
-    /** Returns the next of the [limiters] in turn that may have tokens; null if none may. */
-    fun nextLimiter(now: Duration, limiters: List<VmName>): VmName? =
-        limiters.indices.map { limiters[(turn + it) % limiters.size] }.firstOrNull { isOpen(now, it) }?.also { turn++ }
+    /** Returns the next of the [limiters] in turn that may have tokens, the near ones first; null if none may. */
+    fun nextLimiter(now: Duration, limiters: List<VmName>, isNear: (VmName) -> Boolean): VmName? {
+        val open = limiters.indices.map { limiters[(turn + it) % limiters.size] }.filter { isOpen(now, it) }
+        return (open.firstOrNull(isNear) ?: open.firstOrNull())?.also { turn++ }
+    }
 
     /** Whether one of the [limiters] was asked and has not answered. */
     fun awaits(limiters: List<VmName>): Boolean = requests.any { it.limiter in limiters }
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/TokenHolder.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/limit/TokenHolder.kt
@@ -13,12 +13,14 @@
  * @property registered number of registered VMs; 0 while it is unknown.
  * @property isReturning whether this VM's name was registered before this process started, so that the number of VMs is
  * that of a fleet that ran before.
+ * @property isNear whether a limiter is in this VM's region, so that it answers without a round trip between regions.
  * @property send sends a report to a limiter; returns false if that cannot be reached.
  */
 public class LimiterAccess(
     public val limiters: () -> List<VmName>,
     public val registered: () -> Int,
     public val isReturning: () -> Boolean = { false },
+    public val isNear: (VmName) -> Boolean = { false },
     public val send: (limiter: VmName, report: LimitReport) -> Boolean,
 )
 
@@ -169,7 +171,7 @@
         do {
             val expected = tokens.held + tokens.requested
             val isShort = tokens.waiting.size > expected || expected < ahead / 2
-            val limiter = if (isShort) tokens.nextLimiter(now, usableLimiters(now)) else null
+            val limiter = if (isShort) tokens.nextLimiter(now, usableLimiters(now), access.isNear) else null
             if (limiter != null) {
                 val missing = tokens.waiting.size + ahead - expected
                 val isSent = report(now, limiter, listOf(TokenDemand(name, missing)))
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitSimulation.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/LimitSimulation.kt
@@ -110,7 +110,14 @@
             wakeAt = Duration.INFINITE
             limiter = LimiterState(run, budget) { registered() }
             holder =
-                TokenHolder(run, clock, budget, LimiterAccess({ order() }, { registered() }, { isReturning }, ::send))
+                TokenHolder(
+                    run,
+                    clock,
+                    budget,
+                    LimiterAccess({
+                        order()
+                    }, { registered() }, { isReturning }, send = ::send),
+                )
             limiter.configure(clock, limits)
             holder.configure(clock, limits)
             wake()
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/TokenHolderSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/limit/TokenHolderSpec.kt
@@ -24,11 +24,14 @@
     private val sent = ArrayList<Pair<VmName, LimitReport>>()
     private val decided = ArrayList<Duration?>()
     private var registered = 0
+    private var near = emptySet<VmName>()
     private val holder = TokenHolder(
         run = 1,
         startedAt = 0.seconds,
         budget,
-        LimiterAccess({ limiters }, { registered }, { false }) { limiter, report -> sent.add(limiter to report) },
+        LimiterAccess({ limiters }, { registered }, { false }, { it in near }) { limiter, report ->
+            sent.add(limiter to report)
+        },
     ).also { it.configure(0.seconds, mapOf(customer to RateLimit(4.0, 4.0))) }
 
     private fun admit(now: Duration) = holder.admit(now, customer, 60.milliseconds) { decided += it }
@@ -54,6 +57,17 @@
         expectThat(decided).hasSize(2).get { last() }.isNotNull()
     }
 
+    @Test
+    fun `asks the limiter of its region first, so that operations wait for no round trip between regions`() {
+        near = setOf(VmName("y"))
+        repeat(4) { number ->
+            admit(1.seconds + 300.milliseconds * number)
+            answer(1.01.seconds + 300.milliseconds * number, tokens = 1, sent.last { it.second.demands.isNotEmpty() })
+        }
+        expectThat(sent.filter { it.second.demands.isNotEmpty() }.map { it.first.value }).all { isEqualTo("y") }
+        expectThat(decided).containsExactly(null, null, null, null)
+    }
+
     @Test
     fun `does not use a token that comes after its life, since the bound counts the time from its grant`() {
         admit(1.seconds)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
@@ -76,6 +76,7 @@
         limiters = node::limiterVms,
         registered = { view.size },
         isReturning = isReturning,
+        isNear = node::isInOwnRegion,
     )
 
     /** Number of operations of other VMs that this VM runs. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -191,8 +191,20 @@
     internal fun feedSources(): List<VmName> =
         homes.live(FEED_SUBJECT, homes.region(place.dataCentre), environment.now()).take(FEED_SOURCES).map { it.name }
 
-    /** VMs of all regions that count for the limits of customers, in order of preference. */
-    internal fun limiterVms(): List<VmName> = homes.live(LIMITER_SUBJECT, null, environment.now()).map { it.name }
+    /**
+     * VMs that count for the limits of customers, in an order that all VMs agree on: the first of each region, so that
+     * most tokens need no round trip between regions, and after them all others.
+     */
+    internal fun limiterVms(): List<VmName> {
+        val now = environment.now()
+        val regions = place.regions.values.distinct().sorted()
+        val firsts = regions.mapNotNull { homes.live(LIMITER_SUBJECT, it, now).firstOrNull() }
+        return (firsts + homes.live(LIMITER_SUBJECT, null, now)).map { it.name }.distinct()
+    }
+
+    /** Whether [vm] is in the region of this VM. */
+    internal fun isInOwnRegion(vm: VmName): Boolean =
+        fleet[vm]?.dataCentre?.let(place.regions::get) == place.regions[place.dataCentre]
 
     /** Position of this VM among those of its region that compete for the fleet's duties; 0 where nothing is shared. */
     public fun dutyRank(): Int {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/limit/FleetLimiter.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/limit/FleetLimiter.kt
@@ -32,6 +32,7 @@
  * @property run random number of this process.
  * @property limiters the limiter VMs in order, of which the first three count; this VM may be one of them.
  * @property registered number of registered VMs, this one included; 0 while it is unknown.
+ * @property isNear whether a limiter VM is in this VM's region.
  * @property isReturning whether this VM's name was registered before this process started.
  */
 internal class LimiterPlaces(
@@ -40,6 +41,7 @@
     val limiters: () -> List<VmName>,
     val registered: () -> Int,
     val isReturning: () -> Boolean = { false },
+    val isNear: (VmName) -> Boolean = { false },
 )
 
 /**
@@ -71,7 +73,7 @@
         run = places.run,
         startedAt = now(),
         budget = budget,
-        access = LimiterAccess(places.limiters, places.registered, places.isReturning, ::send),
+        access = LimiterAccess(places.limiters, places.registered, places.isReturning, places.isNear, ::send),
         onLimitersChanged = ::logLimiters,
     )
     private val refusals = RefusalLog(environment.events)
