--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FleetRegistry.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/fleet/FleetRegistry.kt
@@ -48,8 +48,14 @@
 
     /** Starts to register, and to list periodically. */
     public fun start() {
-        executor.execute { events.runStep(STEP) { register(ObjectVersion.ABSENT) } }
-        // All VMs of a fleet may start together; the first list after that includes them.
+        // A VM that starts again needs the number of VMs at once: without it, it keeps connections that others need.
+        executor.execute {
+            events.runStep(STEP) {
+                register(ObjectVersion.ABSENT)
+                list()
+            }
+        }
+        // All VMs of a fleet may start together; the first periodic list includes them.
         schedule(FIRST_LIST_DELAY) { listPeriodically(failures = 0) }
     }
 
