review: a stop leaves statements of open transactions unanswered

Cause: transactions that serve a statement at half of the grace period are not interrupted, and the process ends at 0.8 of it whatever is in flight. Change: adds stand-ins of the platform, members and callers, and the case as a script that starts the project's own processes.

--- /dev/null
+++ b/review/standin/review/Lab.java
@@ -0,0 +1,93 @@
+package review;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/** A small deployment on loopback: the platform's store, one service of three members, and processes of the project. */
+final class Lab implements AutoCloseable {
+    static final String ZONE = "cairo-a";
+
+    /** A case: returns whether the rule held, and throws an exception if the case could not run. */
+    interface Case {
+        boolean run(Lab lab, boolean trouble) throws Exception;
+    }
+
+    final Record record;
+    final Store store;
+    final Group group;
+    final Path folder;
+    private final List<Node> nodes = new ArrayList<>();
+    private long version = 7;
+
+    private Lab(Record record) throws IOException {
+        this.record = record;
+        folder = Files.createTempDirectory("review");
+        store = new Store(record);
+        group = new Group("huvo11a", record);
+        for (int i = 1; i <= 3; i++) new Member("i-000000" + i, group, store, ZONE);
+        store.promote = (service, id) -> service.equals(group.service) && group.promote(id);
+        group.members.forEach(Member::start);
+    }
+
+    /** Runs a case in the folder of the first argument and ends this program with 0, 1 or 2. */
+    static void main(String[] arguments, Case test) throws IOException {
+        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        Record record = new Record(Path.of(arguments[0], "record.txt"));
+        record.log("trouble " + trouble);
+        int exit = 2;
+        try (Lab lab = new Lab(record)) {
+            exit = test.run(lab, trouble) ? 0 : 1;
+        } catch (Exception failure) {
+            record.verdict("the case could not run: " + failure);
+            failure.printStackTrace();
+        }
+        record.verdict(exit == 0 ? "the rule held" : exit == 1 ? "the rule was broken" : "no result");
+        System.exit(exit);
+    }
+
+    static Map<String, Object> route(String database, String service, String type, int timeoutMs, int targetMs, int priority) {
+        return Json.of("name", "r-" + database, "database", database, "pathPrefix", "/", "type", type,
+            "timeoutMs", timeoutMs, "targetLatencyMs", targetMs, "priority", priority, "service", service,
+            "maxAttempts", 2, "maxStalenessMs", 1500);
+    }
+
+    /** Writes the next configuration; [more] are further fields of it. */
+    void configure(List<Map<String, Object>> routes, Object... more) {
+        Map<String, Object> configuration = Json.of("version", version++, "routes", routes,
+            "services", List.of(Json.of("name", group.service, "healthPath", "/health", "maxConnections", 41,
+                "protocol", "h1", "tls", false, "syncReplicas", 0)),
+            "limits", Json.of("maxHeaderBytes", 16384, "maxBodyBytes", 262144, "headerTimeoutMs", 3000,
+                "idleTimeoutMs", 15000, "txIdleMs", 3000));
+        configuration.putAll(Json.of(more));
+        store.put("config", "main", configuration);
+        record.log("operator  configuration " + (version - 1) + " acknowledged");
+    }
+
+    Node node(String name, String... settings) throws IOException {
+        Node node = new Node(name, ZONE, store, folder, record, settings);
+        nodes.add(node);
+        return node;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Node node : nodes) {
+            try {
+                if (node.isRunning()) node.kill();
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        store.stop();
+        if (System.getenv("KEEP") != null) return;
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) Files.delete(file);
+        }
+    }
+}
