review: a home machine runs forwarded calls by its own, older configuration

Cause: a forwarded call carries the database's name alone, and the machine that runs it resolves the name with whatever configuration it has.

--- a/review/standin/review/Lab.java
+++ b/review/standin/review/Lab.java
@@ -22,6 +22,7 @@
     final Store store;
     final Group group;
     final Path folder;
+    private final List<Group> groups = new ArrayList<>();
     private final List<Node> nodes = new ArrayList<>();
     private long version = 7;
 
@@ -29,10 +30,18 @@
         this.record = record;
         folder = Files.createTempDirectory("review");
         store = new Store(record);
-        group = new Group("huvo11a", record);
-        for (int i = 1; i <= 3; i++) new Member("i-000000" + i, group, store, ZONE);
-        store.promote = (service, id) -> service.equals(group.service) && group.promote(id);
-        group.members.forEach(Member::start);
+        group = addGroup("huvo11a", "i-000000");
+        store.promote = (service, id) ->
+            groups.stream().anyMatch(known -> known.service.equals(service) && known.promote(id));
+    }
+
+    /** Starts a service of three members, whose ids begin with [prefix]; to be called before [configure]. */
+    Group addGroup(String service, String prefix) throws IOException {
+        Group added = new Group(service, record);
+        for (int i = 1; i <= 3; i++) new Member(prefix + i, added, store, ZONE);
+        added.members.forEach(Member::start);
+        groups.add(added);
+        return added;
     }
 
     /** Runs a case in the folder of the first argument and ends this program with 0, 1 or 2. */
@@ -60,8 +69,8 @@
     /** Writes the next configuration; [more] are further fields of it. */
     void configure(List<Map<String, Object>> routes, Object... more) {
         Map<String, Object> configuration = Json.of("version", version++, "routes", routes,
-            "services", List.of(Json.of("name", group.service, "healthPath", "/health", "maxConnections", 41,
-                "protocol", "h1", "tls", false, "syncReplicas", 0)),
+            "services", groups.stream().map(known -> Json.of("name", known.service, "healthPath", "/health",
+                "maxConnections", 41, "protocol", "h1", "tls", false, "syncReplicas", 0)).toList(),
             "limits", Json.of("maxHeaderBytes", 16384, "maxBodyBytes", 262144, "headerTimeoutMs", 3000,
                 "idleTimeoutMs", 15000, "txIdleMs", 3000));
         configuration.putAll(Json.of(more));
