review: a quiet route is refused for good after one unanswered write

Cause: the expected service time of a kind, against which new statements are refused, changes only when a statement of that kind runs. Change: adds the case as a script: all processes are killed, and the first booking of each hangs at the primary.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Kills all processes; after their start the first booking of each is left without an answer; later bookings are counted.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+exec java -cp review/build review.RecoverCase "$folder"
--- a/review/standin/review/Group.java
+++ b/review/standin/review/Group.java
@@ -52,7 +52,7 @@
         Thread takeover = new Thread(() -> {
             sleep(promoteMs);
             synchronized (this) {
-                next.advance();
+                next.takeReceived();
                 List<Commit> kept = new ArrayList<>(next.log);
                 for (Member member : members) {
                     member.advance();
--- a/review/standin/review/Member.java
+++ b/review/standin/review/Member.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Semaphore;
@@ -51,6 +52,8 @@
 
     /** Time that single requests take instead. */
     final ConcurrentHashMap<String, Long> workOf = new ConcurrentHashMap<>();
+    /** Requests that neither run nor get an answer; their connections stay open. */
+    final Set<String> hung = ConcurrentHashMap.newKeySet();
     volatile String state = "ready";
     volatile boolean running = true;
 
@@ -115,6 +118,16 @@
         }
     }
 
+    /** Moves what has been received by now into the log, as a member does that takes the lead. */
+    void takeReceived() {
+        long now = System.currentTimeMillis();
+        for (Arrival next = arrivals.peek(); next != null && next.receivedAt <= now; next = arrivals.peek()) {
+            arrivals.poll();
+            log.add(next.commit);
+        }
+        appliedCount = log.size();
+    }
+
     private String position() {
         synchronized (group) {
             advance();
@@ -289,6 +302,10 @@
 
         private String run(String request, String text, String[] words) {
             if (state == 'E') return error("MALFORMED");
+            if (hung.contains(request)) {
+                record.log(id + "  neither runs nor answers " + request);
+                Group.sleep(60_000);
+            }
             String[] result = new String[1];
             long began = record.now();
             boolean ran = inSlot(workOf.getOrDefault(request, workMs), () -> result[0] = effect(request, text, words));
