--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,5 @@
 # Starts two processes, stops one with SIGTERM amid transactions, and looks for statements without an answer.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
+[ -f review/build/review/Lab.class ] && [ -f target/kumquatknot.jar ] || exit 2
 exec java -cp review/build review.StopCase "$folder"
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,5 @@
 # Kills a process amid a COMMIT that another process runs, and reads through the restarted process.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
+[ -f review/build/review/Lab.class ] && [ -f target/kumquatknot.jar ] || exit 2
 exec java -cp review/build review.ForwardCase "$folder"
--- a/review/standin/review/Lab.java
+++ b/review/standin/review/Lab.java
@@ -18,6 +18,8 @@
         boolean run(Lab lab, boolean trouble) throws Exception;
     }
 
+    private static final long LONGEST_RUN_MS = 110_000;
+
     final Record record;
     final Store store;
     final Group group;
@@ -45,21 +47,35 @@
     }
 
     /** Runs a case in the folder of the first argument and ends this program with 0, 1 or 2. */
-    static void main(String[] arguments, Case test) throws IOException {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Record record = new Record(Path.of(arguments[0], "record.txt"));
-        record.log("trouble " + trouble);
+    static void main(String[] arguments, Case test) {
         int exit = 2;
-        try (Lab lab = new Lab(record)) {
-            exit = test.run(lab, trouble) ? 0 : 1;
-        } catch (Exception failure) {
-            record.verdict("the case could not run: " + failure);
+        try {
+            boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+            Record record = new Record(Path.of(arguments[0], "record.txt"));
+            record.log("trouble " + trouble);
+            endAfter(LONGEST_RUN_MS, record);
+            try (Lab lab = new Lab(record)) {
+                exit = test.run(lab, trouble) ? 0 : 1;
+            }
+            record.verdict(exit == 0 ? "the rule held" : "the rule was broken");
+        } catch (Throwable failure) {
+            exit = 2;
+            System.out.println("the case could not run");
             failure.printStackTrace();
         }
-        record.verdict(exit == 0 ? "the rule held" : exit == 1 ? "the rule was broken" : "no result");
         System.exit(exit);
     }
 
+    private static void endAfter(long millis, Record record) {
+        Thread watchdog = new Thread(() -> {
+            Group.sleep(millis);
+            record.verdict("the case took too long");
+            System.exit(2);
+        });
+        watchdog.setDaemon(true);
+        watchdog.start();
+    }
+
     static Map<String, Object> route(String database, String service, String type, int timeoutMs, int targetMs, int priority) {
         return Json.of("name", "r-" + database, "database", database, "pathPrefix", "/", "type", type,
             "timeoutMs", timeoutMs, "targetLatencyMs", targetMs, "priority", priority, "service", service,
--- a/review/standin/review/Member.java
+++ b/review/standin/review/Member.java
@@ -63,6 +63,9 @@
     /** Statements that ran, as "id text", in order of their start. */
     final ConcurrentHashMap<String, String> ran = new ConcurrentHashMap<>();
 
+    /** Access and shape with which prepared statements ran, by request. */
+    final ConcurrentHashMap<String, String> planned = new ConcurrentHashMap<>();
+
     Member(String id, Group group, Store store, String zone) throws IOException {
         this.id = id;
         this.group = group;
@@ -331,6 +334,7 @@
                 case "EXECUTE" -> {
                     String plan = plans.get(words[1]);
                     if (plan == null) return error("NOTFOUND");
+                    planned.put(request, plan);
                     if (plan.startsWith("READ")) return "ROW " + value(words[2]) + "\r\n" + done(signature);
                     return write(request, words[2], words[3], signature);
                 }
