review: the forwarded calls' case shows machines in touch alone

Cause: the machine that ran the old version was itself cut off before, so that it was not in touch. Change: the machine that watches the store for it is cut off instead, and the five cases are put in order; two further findings keep their programs only.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Starts two processes, stops one with SIGTERM amid transactions, and looks for statements without an answer.
+# Sends writes whose text holds a line feed, and compares what the members ran with what was sent.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -f review/build/review/Lab.class ] && [ -f target/kumquatknot.jar ] || exit 2
-exec java -cp review/build review.StopCase "$folder"
+exec java -cp review/build review.LineCase "$folder"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Eight clients send questions without waiting for answers for 6.5 s; later another client asks again.
+# Starts two processes, stops one with SIGTERM amid transactions, and looks for statements without an answer.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -f review/build/review/Lab.class ] && [ -f target/kumquatknot.jar ] || exit 2
-exec java -cp review/build review.FloodCase "$folder"
+exec java -cp review/build review.StopCase "$folder"
--- a/review/standin/review/Cut.java
+++ b/review/standin/review/Cut.java
@@ -12,6 +12,8 @@
     private final ServerSocket listener;
     private final int target;
     private boolean silent;
+    private int forgotten;
+    private int opened;
 
     Cut(String address) throws IOException {
         target = Integer.parseInt(address.substring(address.indexOf(':') + 1));
@@ -33,24 +35,34 @@
         notifyAll();
     }
 
-    private synchronized void awaitPath() throws InterruptedException {
-        while (silent) wait();
+    /** Silences the connections that are open now for good; new ones work. */
+    synchronized void forgetOpen() {
+        forgotten = opened;
+    }
+
+    private synchronized void awaitPath(int connection) throws InterruptedException {
+        while (silent || connection < forgotten) wait();
+    }
+
+    private synchronized int open() {
+        return opened++;
     }
 
     private void connect(Socket near) throws IOException, InterruptedException {
-        awaitPath();
+        int connection = open();
+        awaitPath(connection);
         Socket far = new Socket("127.0.0.1", target);
-        daemon(() -> copy(near, far));
-        copy(far, near);
+        daemon(() -> copy(near, far, connection));
+        copy(far, near, connection);
     }
 
-    private void copy(Socket from, Socket to) throws IOException, InterruptedException {
+    private void copy(Socket from, Socket to, int connection) throws IOException, InterruptedException {
         try (from; to) {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             byte[] buffer = new byte[65_536];
             for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-                awaitPath();
+                awaitPath(connection);
                 out.write(buffer, 0, count);
             }
         }
--- a/review/standin/review/Lab.java
+++ b/review/standin/review/Lab.java
@@ -12,6 +12,10 @@
 /** A small deployment on loopback: the platform's store, one service of three members, and processes of the project. */
 final class Lab implements AutoCloseable {
     static final String ZONE = "cairo-a";
+    static final String OTHER_ZONE = "luxor-a";
+
+    /** The region of each zone. */
+    static final Map<String, String> ZONES = Map.of(ZONE, "cairo", OTHER_ZONE, "luxor");
 
     /** A case: returns whether the rule held, and throws an exception if the case could not run. */
     interface Case {
@@ -32,15 +36,15 @@
         this.record = record;
         folder = Files.createTempDirectory("review");
         store = new Store(record);
-        group = addGroup("huvo11a", "i-000000");
+        group = addGroup("huvo11a", "i-000000", ZONE);
         store.promote = (service, id) ->
             groups.stream().anyMatch(known -> known.service.equals(service) && known.promote(id));
     }
 
-    /** Starts a service of three members, whose ids begin with [prefix]; to be called before [configure]. */
-    Group addGroup(String service, String prefix) throws IOException {
+    /** Starts a service of three members in [zone], whose ids begin with [prefix]; to be called before [configure]. */
+    Group addGroup(String service, String prefix, String zone) throws IOException {
         Group added = new Group(service, record);
-        for (int i = 1; i <= 3; i++) new Member(prefix + i, added, store, ZONE);
+        for (int i = 1; i <= 3; i++) new Member(prefix + i, added, store, zone);
         added.members.forEach(Member::start);
         groups.add(added);
         return added;
@@ -95,7 +99,11 @@
     }
 
     Node node(String name, String... settings) throws IOException {
-        Node node = new Node(name, ZONE, store, folder, record, settings);
+        return nodeIn(ZONE, name, settings);
+    }
+
+    Node nodeIn(String zone, String name, String... settings) throws IOException {
+        Node node = new Node(name, zone, store, folder, record, settings);
         nodes.add(node);
         return node;
     }
--- a/review/standin/review/Node.java
+++ b/review/standin/review/Node.java
@@ -29,9 +29,9 @@
         output = folder.resolve(name + ".log");
         List<String> lines = new ArrayList<>(List.of(
             "nodeName=" + name, "role=entry", "machineClass=front", "serves=front", "ip=127.0.0.1", "zone=" + zone,
-            "region=region-of-" + zone, "zones." + zone + "=region-of-" + zone,
+            "region=" + Lab.ZONES.get(zone), "seeds=",
             "bindAddrs.front=127.0.0.1:" + front, "bindAddrs.ready=127.0.0.1:" + ready,
-            "internalPorts=" + peers + "," + (peers + 1), "seeds=", "bootstrap=true", "lossCounts=false",
+            "internalPorts=" + peers + "," + (peers + 1), "bootstrap=true", "lossCounts=false",
             "limits.cpuShare=0.75", "limits.cores=1", "limits.memoryMb=430", "limits.maxFds=4300",
             "limits.linkMbps=1000.0", "limits.diskMb=0", "discovery=platform", "entry=vip", "heartbeatMs=1200",
             "contracts=base,drain,config,cost,recover,sql,platform", "faultTolerance.machines=1",
@@ -42,6 +42,7 @@
             "platform.form=objects", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20",
             "platform.valueBytes=1048576", "platform.minTtlMs=1000", "cloud.address=" + store.address(),
             "cloud.ratePerS=50.0", "cloud.duties=failover", "cloud.dutyPerS=50.0"));
+        Lab.ZONES.forEach((known, region) -> lines.add("zones." + known + "=" + region));
         lines.addAll(List.of(more));
         Files.write(settings, lines);
     }
