review: the cases keep to the figures of their deployments

Cause: two cases used routes and work that the deployments they name don't have. Change: names the deployments whose figures they use, and shortens long lines of the stand-ins.

--- a/review/standin/review/FloodCase.java
+++ b/review/standin/review/FloodCase.java
@@ -17,7 +17,7 @@
     private static final long RECOVERY_MS = 30_000;
     private static final long OBSERVED_MS = 10_000;
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Lab.main(arguments, FloodCase::run);
     }
 
@@ -85,7 +85,9 @@
                 socket.getOutputStream().write("START lepu270 u3f1\r\n".getBytes(StandardCharsets.UTF_8));
                 while (System.currentTimeMillis() < until) {
                     StringBuilder batch = new StringBuilder();
-                    for (int i = 0; i < BATCH; i++) batch.append("QUERY ").append(name).append(count + i).append(" READ k\r\n");
+                    for (int i = 0; i < BATCH; i++) {
+                        batch.append("QUERY ").append(name).append(count + i).append(" READ k\r\n");
+                    }
                     socket.getOutputStream().write(batch.toString().getBytes(StandardCharsets.UTF_8));
                     count += BATCH;
                     sent.addAndGet(BATCH);
--- a/review/standin/review/ForwardCase.java
+++ b/review/standin/review/ForwardCase.java
@@ -10,7 +10,7 @@
     private static final long SLOW_COMMIT_MS = 200 * 8;
     private static final long SLOW_READ_MS = 150 * 8;
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Lab.main(arguments, ForwardCase::run);
     }
 
--- a/review/standin/review/Group.java
+++ b/review/standin/review/Group.java
@@ -7,7 +7,7 @@
 
 /** One database: its members, the log of each, and the terms in which they lead. */
 final class Group {
-    /** A commit: term and number in the log, id of the request, what it wrote, and when it was acknowledged. */
+    /** A commit: term and number in the log, id of the request, and what it wrote. */
     record Commit(long term, long number, String request, Map<String, String> writes) {}
 
     final String service;
@@ -39,7 +39,8 @@
         member.receivedTerm = term;
         long now = System.currentTimeMillis();
         for (Member replica : members) {
-            if (replica != member) replica.arrivals.add(new Member.Arrival(now + receiveMs, now + receiveMs + applyMs, commit));
+            if (replica == member) continue;
+            replica.arrivals.add(new Member.Arrival(now + receiveMs, now + receiveMs + applyMs, commit));
         }
         return commit;
     }
--- a/review/standin/review/Lab.java
+++ b/review/standin/review/Lab.java
@@ -80,7 +80,8 @@
         watchdog.start();
     }
 
-    static Map<String, Object> route(String database, String service, String type, int timeoutMs, int targetMs, int priority) {
+    static Map<String, Object> route(
+        String database, String service, String type, int timeoutMs, int targetMs, int priority) {
         return Json.of("name", "r-" + database, "database", database, "pathPrefix", "/", "type", type,
             "timeoutMs", timeoutMs, "targetLatencyMs", targetMs, "priority", priority, "service", service,
             "maxAttempts", 2, "maxStalenessMs", 1500);
--- a/review/standin/review/LineCase.java
+++ b/review/standin/review/LineCase.java
@@ -5,7 +5,7 @@
 
 /** Writes of two lines of text, and a write within whose text stands another message. */
 final class LineCase {
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Lab.main(arguments, LineCase::run);
     }
 
--- a/review/standin/review/Member.java
+++ b/review/standin/review/Member.java
@@ -60,7 +60,7 @@
     /** Address that the member registers; a proxy of the test may stand before it. */
     volatile String address;
 
-    /** Statements that ran, as "id text", in order of their start. */
+    /** Texts of the statements that ran, by request. */
     final ConcurrentHashMap<String, String> ran = new ConcurrentHashMap<>();
 
     /** Access and shape with which prepared statements ran, by request. */
@@ -101,7 +101,8 @@
     void announce() {
         if (!running) return;
         store.put("servers", id, Json.of("service", group.service, "address", address, "zone", zone, "version", "v1",
-            "slots", SLOTS, "state", state, "coldRemainingMs", 0, "dbRole", group.primary == this ? "primary" : "replica",
+            "slots", SLOTS, "state", state, "coldRemainingMs", 0,
+            "dbRole", group.primary == this ? "primary" : "replica",
             "sequence", sequence.incrementAndGet(), "born", born));
     }
 
@@ -313,16 +314,15 @@
             long began = record.now();
             boolean ran = inSlot(workOf.getOrDefault(request, workMs), () -> result[0] = effect(request, text, words));
             if (!ran) return error("BUSY");
-            record.log(id + "  ran " + request + " \"" + text.replace("\n", "\\n") + "\" from " + began + " values " + values
-                + " -> " + result[0].replace("\r\n", " | "));
+            record.log(id + "  ran " + request + " \"" + text.replace("\n", "\\n") + "\" from " + began
+                + " values " + values + " -> " + result[0].replace("\r\n", " | "));
             Member.this.ran.put(request, text);
             return result[0];
         }
 
         private String effect(String request, String text, String[] words) {
-            if (state == 'T' && !readOnly && group.primary != Member.this && !(words[0].equals("COMMIT") && writes.isEmpty())) {
-                return error("READONLY");
-            }
+            boolean isEmptyCommit = words[0].equals("COMMIT") && writes.isEmpty();
+            if (state == 'T' && !readOnly && group.primary != Member.this && !isEmptyCommit) return error("READONLY");
             String signature = "sig-" + id + "-" + request;
             switch (words[0]) {
                 case "READ" -> {
@@ -342,7 +342,8 @@
                     Map<String, String> written = new LinkedHashMap<>(writes);
                     writes.clear();
                     state = 'I';
-                    if (!written.isEmpty() && group.append(Member.this, request, written) == null) return error("READONLY");
+                    boolean isLost = !written.isEmpty() && group.append(Member.this, request, written) == null;
+                    if (isLost) return error("READONLY");
                     return done(signature);
                 }
                 default -> {
--- a/review/standin/review/PlanCase.java
+++ b/review/standin/review/PlanCase.java
@@ -4,7 +4,7 @@
 
 /** A client prepares a statement whose shape holds blanks, and executes it. */
 final class PlanCase {
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Lab.main(arguments, PlanCase::run);
     }
 
@@ -34,7 +34,8 @@
             }
         }
         for (Member member : lab.group.members) {
-            member.planned.forEach((request, shape) -> lab.record.verdict(member.id + " ran " + request + " with " + shape));
+            member.planned.forEach(
+                (request, shape) -> lab.record.verdict(member.id + " ran " + request + " with " + shape));
         }
         return isRight;
     }
--- a/review/standin/review/RecoverCase.java
+++ b/review/standin/review/RecoverCase.java
@@ -13,14 +13,14 @@
     private static final AtomicInteger SENT = new AtomicInteger();
     private static final AtomicInteger SERVED = new AtomicInteger();
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Lab.main(arguments, RecoverCase::run);
     }
 
     private static boolean run(Lab lab, boolean trouble) throws Exception {
-        lab.configure(List.of(Lab.route("reserva", lab.group.service, "primary", 800, 400, 0),
-            Lab.route("catalogo", lab.group.service, "primary", 2000, 800, 1)));
-        List<Node> nodes = List.of(lab.node("front-mendoza-a-1"), lab.node("front-mendoza-a-2"));
+        lab.configure(List.of(Lab.route("seat", lab.group.service, "primary", 800, 500, 0),
+            Lab.route("bench", lab.group.service, "primary", 800, 500, 0)));
+        List<Node> nodes = List.of(lab.node("front-cairo-a-1"), lab.node("front-cairo-a-2"));
         for (Node node : nodes) node.start();
         for (Node node : nodes) node.awaitReady(20_000);
         Group.sleep(2_000);
@@ -32,18 +32,18 @@
         Group.sleep(900);
         if (trouble) {
             for (int i = 0; i < nodes.size(); i++) {
-                String request = "recovery-reserva-" + i + "-0";
+                String request = "recovery-seat-" + i + "-0";
                 lab.group.members.forEach(member -> member.hung.add(request));
             }
         }
         for (Node node : nodes) node.start();
         for (Node node : nodes) node.awaitReady(20_000);
         long backAt = System.currentTimeMillis();
-        // Browsing comes first; each process has a connection to the primary when the first booking arrives.
+        // Reads come first; each process has a connection to the primary when the first booking arrives.
         for (int i = 0; i < 3; i++) {
             for (Node node : nodes) {
-                try (Client client = new Client("browser", node.front, "catalogo u3f1", lab.record)) {
-                    client.ask("browse-" + node.name + "-" + i, "READ robe-7");
+                try (Client client = new Client("reader", node.front, "bench u3f1", lab.record)) {
+                    client.ask("first-" + node.name + "-" + i, "READ seat-7");
                 }
             }
             Group.sleep(300);
@@ -63,8 +63,8 @@
         SERVED.set(0);
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < nodes.size(); i++) {
-            clients.add(client(lab, nodes.get(i), "reserva", phase + "-reserva-" + i, 0, 1_000, millis));
-            clients.add(client(lab, nodes.get(i), "catalogo", phase + "-catalogo-" + i, 2_000, 4_000, millis));
+            clients.add(client(lab, nodes.get(i), "seat", phase + "-seat-" + i, 0, 1_000, millis));
+            clients.add(client(lab, nodes.get(i), "bench", phase + "-bench-" + i, 2_000, 4_000, millis));
         }
         for (Thread client : clients) client.join();
         return SENT.get() == 0 ? 0 : 100 * SERVED.get() / SENT.get();
@@ -78,7 +78,7 @@
             for (int i = 0; System.currentTimeMillis() < until; i++) {
                 SENT.incrementAndGet();
                 try (Client client = new Client(name, node.front, database + " u3f1", lab.record)) {
-                    String text = database.equals("reserva") ? "WRITE robe-7 " + name + "-" + i : "READ robe-7";
+                    String text = database.equals("seat") ? "WRITE seat-7 " + name + "-" + i : "READ seat-7";
                     if (client.ask(name + "-" + i, text).isComplete()) SERVED.incrementAndGet();
                 } catch (IOException refused) {
                     lab.record.log(name + "  " + refused.getMessage());
--- a/review/standin/review/StopCase.java
+++ b/review/standin/review/StopCase.java
@@ -9,18 +9,19 @@
 final class StopCase {
     private static final int SESSIONS = 12;
     private static final int STATEMENTS = 10;
+    private static final int TIMEOUT_MS = 800;
     private static final long GRACE_MS = 6_000;
     private static final long STABLE_MS = 5_000;
 
     /** A request that was sent on the stopped process and whose connection ended without an answer. */
     private record Cut(String request, long sentAt, long endedAt) {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Lab.main(arguments, StopCase::run);
     }
 
     private static boolean run(Lab lab, boolean trouble) throws Exception {
-        lab.configure(List.of(Lab.route("xapu221", lab.group.service, "bounded_staleness", 2000, 1000, 1)));
+        lab.configure(List.of(Lab.route("fiti832", lab.group.service, "read_your_writes", TIMEOUT_MS, 2000, 2)));
         lab.group.members.forEach(member -> member.workMs = 40);
         Node stopped = lab.node("front-cairo-a-1");
         Node other = lab.node("front-cairo-a-2");
@@ -50,7 +51,7 @@
             long sinceTerm = cut.sentAt - termAt;
             // Not counted: the member was still at work in the last sixth on a request sent at most 3 s after SIGTERM.
             boolean isExcused = sinceTerm <= 3_000 && cut.endedAt - termAt >= GRACE_MS * 5 / 6;
-            boolean isLost = isPassedOn && !isExcused && cut.endedAt - cut.sentAt < 2_000;
+            boolean isLost = isPassedOn && !isExcused && cut.endedAt - cut.sentAt < TIMEOUT_MS;
             if (isLost) lost++;
             lab.record.log("cut " + cut.request + ": sent " + sinceTerm + " ms after SIGTERM, connection ended "
                 + (cut.endedAt - termAt) + " ms after it, a member ran it: " + isPassedOn + ", counts: " + isLost);
@@ -65,7 +66,7 @@
         Thread thread = new Thread(() -> {
             int count = 0;
             while (!ending[0] && node.isRunning()) {
-                try (Client client = new Client(name, node.front, "xapu221 u3f1", lab.record)) {
+                try (Client client = new Client(name, node.front, "fiti832 u3f1", lab.record)) {
                     while (!ending[0]) {
                         String operation = name + "-" + count++;
                         if (!transaction(lab, client, operation, cuts, served)) break;
--- a/review/standin/review/Store.java
+++ b/review/standin/review/Store.java
@@ -117,7 +117,8 @@
     private void list(HttpExchange exchange, String kind, String after) throws IOException {
         Map<String, Object> content;
         synchronized (this) {
-            List<Object> items = new ArrayList<>(kinds.getOrDefault(kind, new TreeMap<>()).tailMap(after, false).values());
+            TreeMap<String, Map<String, Object>> known = kinds.getOrDefault(kind, new TreeMap<>());
+            List<Object> items = new ArrayList<>(known.tailMap(after, false).values());
             content = Json.of("items", items, "hasMore", false, "storeRevision", revision);
         }
         answer(exchange, 200, content);
@@ -164,8 +165,9 @@
         int status = 200;
         synchronized (this) {
             result = kinds.getOrDefault(kind, new TreeMap<>()).get(name);
+            Object current = result == null ? null : Json.object(result.get("meta")).get("revision");
             if (result == null) status = 404;
-            else if (expected != null && !expected.equals(Json.object(result.get("meta")).get("revision"))) status = 409;
+            else if (expected != null && !expected.equals(current)) status = 409;
             else result = store(kind, name, sent.get("spec"));
         }
         answer(exchange, status, result == null ? Json.of() : result);
