review: each script reads TROUBLE itself

Cause: only the program that a script starts read the variable. Change: the script reads it and passes it on as an argument.

--- a/review/standin/review/Lab.java
+++ b/review/standin/review/Lab.java
@@ -50,11 +50,14 @@
         return added;
     }
 
-    /** Runs a case in the folder of the first argument and ends this program with 0, 1 or 2. */
+    /**
+     * Runs a case in the folder of the first argument, without its disruption if the second one is 0, and ends this
+     * program with 0, 1 or 2.
+     */
     static void main(String[] arguments, Case test) {
         int exit = 2;
         try {
-            boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+            boolean trouble = arguments.length < 2 || !arguments[1].equals("0");
             Record record = new Record(Path.of(arguments[0], "record.txt"));
             record.log("trouble " + trouble);
             endAfter(LONGEST_RUN_MS, record);
