Answer forwarded requests only to the process that asked

Callers saw: a read through a VM that had been killed and started again got COMPLETE with the signature of another client's COMMIT, without a row.

Cause: a statement that is at a member when the link to the VM that sent it is lost ends on its own, and its outcome went to whichever process had the link of that name by then. Requests are numbered from 1 in each process, so the number could be that of a request of the new one.

Evidence: ForwardingSpec, "when the sending VM starts again under its name", two specs.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/exchange/VmExchange.kt
@@ -56,6 +56,7 @@
         network = network,
         environment = environment,
         place = ::place,
+        firstNumber = identity.firstRequestNumber,
         dropLink = network::drop,
         // The state of the links is recorded in the view of the fleet.
         onFailing = {},
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingExecutor.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingExecutor.kt
@@ -34,6 +34,7 @@
  * Runs operations at the VMs that [place] names, and by itself with [local] if none of them can be reached or serves
  * them. Has to be added to [network] as a listener.
  *
+ * @param firstNumber number of the first request to another VM; differs between the processes of a VM.
  * @param dropLink drops the link to a VM that is silent.
  * @param onFailing called with a VM to which the link was lost.
  * @param onAnswering called with a VM that answered a request.
@@ -43,11 +44,12 @@
     private val network: PeerNetwork,
     private val environment: NodeEnvironment,
     private val place: PlaceOperation,
+    firstNumber: Long,
     dropLink: (VmName) -> Unit,
     private val onFailing: (VmName) -> Unit,
     private val onAnswering: (VmName) -> Unit,
 ) : OperationExecutor, PeerListener {
-    private val requests = PeerRequests(network, environment, dropLink)
+    private val requests = PeerRequests(network, environment, firstNumber, dropLink)
     private val openTransactions = HashMap<VmName, MutableSet<ForwardedTransaction>>()
     private val services = ForwardingServices(
         local = local,
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingServer.kt
@@ -5,7 +5,9 @@
 import dev.kumquatknot.core.interactive.InteractiveConfiguration
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.RejectionCode
+import dev.kumquatknot.core.interactive.StatementResult
 import dev.kumquatknot.core.interactive.TransactionState
+import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.fleet.CallPayload
 import dev.kumquatknot.proxy.fleet.OutcomePayload
 import dev.kumquatknot.proxy.fleet.PeerListener
@@ -56,6 +58,7 @@
     override fun disconnected(vm: VmName) {
         watches.remove(vm)
         val caller = callers.remove(vm) ?: return
+        caller.isLost = true
         caller.running.values.toList().forEach { it() }
         caller.transactions.values.toList().forEach { it.abandon() }
     }
@@ -76,7 +79,7 @@
         val cancel = executor.run(payload.call.toCall(route, environment.now())) { outcome ->
             isAnswered = true
             caller.running.remove(payload.number)
-            answer(vm, payload.number, outcome, codeIfTooLarge(payload.call.writes, RejectionCode.FAILED))
+            answer(caller, payload.number, outcome, codeIfTooLarge(payload.call.writes, RejectionCode.FAILED))
             endWatchIfIdle(caller)
         }
         if (!isAnswered) caller.running[payload.number] = cancel
@@ -94,14 +97,14 @@
         if (open == null || open.isServing) {
             abandon(vm, payload.transaction)
             val outcome = rejectedOutcome(RejectionCode.ABORTED, "the transaction is not open", TransactionState.FAILED)
-            return answer(vm, payload.number, outcome, RejectionCode.ABORTED)
+            return answer(caller, payload.number, outcome, RejectionCode.ABORTED)
         }
         open.run(payload) { outcome ->
             if (outcome.reply.state != TransactionState.OPEN) caller.transactions.remove(payload.transaction)
-            answer(vm, payload.number, outcome, codeIfTooLarge(payload.commits, RejectionCode.ABORTED)) {
-                abandon(vm, payload.transaction)
+            answer(caller, payload.number, outcome, codeIfTooLarge(payload.commits, RejectionCode.ABORTED)) {
+                abandon(caller, payload.transaction)
             }
-            open.startIdleTimer(configuration().transactionIdle) { abandon(vm, payload.transaction) }
+            open.startIdleTimer(configuration().transactionIdle) { abandon(caller, payload.transaction) }
             endWatchIfIdle(caller)
         }
     }
@@ -116,7 +119,10 @@
     }
 
     private fun abandon(vm: VmName, transaction: Long) {
-        val caller = callers[vm] ?: return
+        callers[vm]?.let { abandon(it, transaction) }
+    }
+
+    private fun abandon(caller: Caller, transaction: Long) {
         caller.transactions.remove(transaction)?.abandon()
         endWatchIfIdle(caller)
     }
@@ -140,16 +146,30 @@
     }
 
     /**
-     * Answers [vm]. An outcome that is too large for the link is replaced by one with [codeIfTooLarge], without rows,
-     * since the other VM would wait in vain. If even that cannot be sent, the loss of the link tells it.
+     * Answers [caller], unless the link on which it asked was lost: a process that has the link of that name now did
+     * not ask, and may have given the same number to a request of its own.
+     *
+     * An outcome that is too large for the link is replaced by one with [codeIfTooLarge], without rows, since the other
+     * VM would wait in vain. If even that cannot be sent, the loss of the link tells it.
      */
     private fun answer(
-        vm: VmName,
+        caller: Caller,
         number: Long,
         outcome: StatementOutcome,
         codeIfTooLarge: RejectionCode,
         onReplaced: () -> Unit = {},
     ) {
+        val vm = caller.vm
+        if (caller.isLost) {
+            val result = outcome.reply.result
+            return environment.events.log(
+                Event.FORWARDED_ANSWER_DROPPED,
+                "peer" to vm.value,
+                "number" to number,
+                "member" to outcome.facts.member?.value,
+                "code" to (result as? StatementResult.Rejected)?.code?.name,
+            )
+        }
         if (network.send(vm, PeerMessage(outcome = outcome.toPayload(number)))) return
         onReplaced()
         val state = if (outcome.reply.state == TransactionState.IDLE) TransactionState.IDLE else TransactionState.FAILED
@@ -158,7 +178,7 @@
     }
 
     private fun callerOf(vm: VmName): Caller {
-        val caller = callers.getOrPut(vm) { Caller() }
+        val caller = callers.getOrPut(vm) { Caller(vm) }
         if (caller.endWatch == null) caller.endWatch = watches.watch(vm)
         return caller
     }
@@ -169,11 +189,14 @@
         caller.endWatch = null
     }
 
-    /** What runs here for one VM, by the numbers that it gave. */
-    private class Caller {
+    /** What runs here for one process of [vm], by the numbers that it gave. */
+    private class Caller(val vm: VmName) {
         val running = HashMap<Long, Cancel>()
         val transactions = HashMap<Long, ServedTransaction>()
         var endWatch: Cancel? = null
+
+        /** Whether the link to the process was lost. */
+        var isLost = false
     }
 
     private companion object {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/PeerRequests.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/PeerRequests.kt
@@ -25,19 +25,22 @@
 /**
  * Matches requests to other VMs with their answers, and drops links on which an answer is due but nothing arrives.
  *
+ * @param firstNumber number of the first request. It differs between the processes of a VM, so that a request never
+ *   has the number of one that an earlier process sent, to which an answer may still come.
  * @param dropLink drops the link to a VM, which is then reported as lost.
  */
 internal class PeerRequests(
     private val network: PeerNetwork,
     private val environment: NodeEnvironment,
+    firstNumber: Long,
     dropLink: (VmName) -> Unit,
 ) : PeerListener {
     private val pending = LinkedHashMap<Long, Request>()
     private val watches = SilenceWatches(network, environment, PING_AFTER, DROP_AFTER_PING, dropLink, ::disconnected)
-    private var lastNumber = 0L
+    private var nextNumber = firstNumber
 
     /** Returns a number that no other request of this process has. */
-    fun nextNumber(): Long = ++lastNumber
+    fun nextNumber(): Long = nextNumber++
 
     /**
      * Sends [message], the request with [number], to [vm]. Unless this returns false, [done] is called once, at the
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/TcpPeerNetwork.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/TcpPeerNetwork.kt
@@ -20,7 +20,15 @@
 import java.util.concurrent.TimeUnit
 
 /** Name of a VM and the random number of its process. */
-internal data class PeerIdentity(val vm: VmName, val run: Long)
+internal data class PeerIdentity(val vm: VmName, val run: Long) {
+    /** Where the process begins to number its requests: at random, as another process may have used the first ones. */
+    val firstRequestNumber: Long get() = run ushr FIRST_NUMBER_SHIFT
+
+    private companion object {
+        /** Keeps 48 bits, which take 7 bytes on the wire and leave room for more requests than a process can send. */
+        const val FIRST_NUMBER_SHIFT = 16
+    }
+}
 
 /**
  * Links to other VMs over TCP. All calls and callbacks are on [eventLoop].
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingSpec.kt
@@ -21,6 +21,7 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -355,6 +356,58 @@
         }
     }
 
+    @Nested
+    inner class `when the sending VM starts again under its name` {
+        private val slowCommit = 300.milliseconds
+
+        private fun slowCommits() = group.members.forEach { member ->
+            member.workOf = { if (it is MemberCommand.Commit) slowCommit else Duration.ZERO }
+        }
+
+        /** Opens a transaction whose next statement is the third request that the process forwards. */
+        private fun ForwardingVm.callerInTransaction() = Caller("current").also { caller ->
+            homes = listOf(first.name)
+            caller.ask { caller.sendBegin() }
+            caller.ask { caller.sendWrite("t") }
+        }
+
+        private fun restart(): ForwardingVm {
+            loop.advance(20.milliseconds)
+            fleet.cut(sender.name, first.name)
+            return ForwardingVm("sender", loop, group, fleet).also { loop.advance(20.milliseconds) }
+        }
+
+        /** A read once succeeded with the signature of a COMMIT that an earlier process of its VM had forwarded. */
+        @Test
+        fun `its request does not get the answer to one of the earlier process`() {
+            slowCommits()
+            sender.callerInTransaction().sendCommit("c")
+            val reader = restart().callerInTransaction()
+            delay("r")
+            reader.sendRead("r")
+            val replies = reader.replies.size
+            loop.advance(slowCommit + 100.milliseconds)
+            expectThat(group.commits).isEqualTo(1L)
+            expectThat(runsOf("r")).isNotEmpty()
+            expectThat(reader.replies).hasSize(replies)
+        }
+
+        /** A COMMIT that took effect was once refused with ABORTED, which promises that it did not. */
+        @Test
+        fun `its commit is not refused as a statement of the earlier process has failed`() {
+            delay("hung")
+            sender.callerInTransaction().sendWrite("hung")
+            val restarted = restart()
+            loop.advance(1_300.milliseconds)
+            slowCommits()
+            val caller = restarted.callerInTransaction()
+            caller.sendCommit("c")
+            loop.advance(slowCommit + 100.milliseconds)
+            expectThat(group.commits).isEqualTo(1L)
+            expectThat(caller.replies.last().result).isEqualTo(StatementResult.Completed("signature-c"))
+        }
+    }
+
     @Nested
     inner class `when a home VM is silent` {
         @Test
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingVm.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingVm.kt
@@ -47,6 +47,7 @@
     private val loop: VirtualLoop,
     private val group: FakeGroup,
     fleet: FakeFleet,
+    firstNumber: Long = 1,
 ) {
     val name = VmName(name)
     var configuration = CONFIGURATION
@@ -95,6 +96,7 @@
         network = endpoint,
         environment = environment,
         place = { traits -> homes.also { asked += traits } },
+        firstNumber = firstNumber,
         dropLink = endpoint::drop,
         onFailing = { failing += it },
         onAnswering = { answering += it },
