Answer every statement before a VM stops

Callers saw: up to four sessions of a VM that got SIGTERM lost their connection while a statement or a COMMIT of theirs was at a member.

Cause: (1) at half of the grace period, open transactions were rolled back only if they ran no statement at that moment; the others went on for as long as their clients sent statements. (2) At the end of the wait, the process ended without an answer to what it had passed on. A home VM treated the transactions of other VMs in the same way.

Change: a transaction that runs a statement at half of the grace period is rolled back after the answer to it, at a home VM too; new operations of its session get BUSY.

Evidence: InteractiveNodeSpec, "a node that is leaving": before, a statement after the interruption succeeded and a new operation was served.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingServer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingServer.kt
@@ -41,6 +41,7 @@
     private val dropLink: (VmName) -> Unit,
 ) : PeerListener {
     private val callers = HashMap<VmName, Caller>()
+    private var isInterrupted = false
     private val watches = SilenceWatches(network, environment, PING_AFTER, DROP_AFTER_PING, dropLink, ::disconnected)
 
     /** Number of statements that run or wait and of transactions that are open. */
@@ -63,8 +64,9 @@
         caller.transactions.values.toList().forEach { it.abandon() }
     }
 
-    /** Rolls back the open transactions that run no statement. */
+    /** Rolls back the open transactions, those that run a statement after its answer. */
     fun interruptTransactions() {
+        isInterrupted = true
         callers.keys.toList().forEach { vm ->
             val idle = callers[vm]?.transactions.orEmpty().filterValues { !it.isServing }
             idle.keys.forEach { abandon(vm, it) }
@@ -104,7 +106,11 @@
             answer(caller, payload.number, outcome, codeIfTooLarge(payload.commits, RejectionCode.ABORTED)) {
                 abandon(caller, payload.transaction)
             }
-            open.startIdleTimer(configuration().transactionIdle) { abandon(caller, payload.transaction) }
+            if (isInterrupted) {
+                abandon(caller, payload.transaction)
+            } else {
+                open.startIdleTimer(configuration().transactionIdle) { abandon(caller, payload.transaction) }
+            }
             endWatchIfIdle(caller)
         }
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -104,6 +104,7 @@
     private var members: List<DiscoveredMember>? = null
     private var membersEra = StoreEra.UNKNOWN
     private var closing = false
+    private var isInterrupted = false
 
     /** The configuration in force. */
     public var configuration: InteractiveConfiguration = InteractiveConfiguration.NONE
@@ -296,9 +297,18 @@
         sessions.toList().filter { it.isIdle }.forEach { it.close() }
     }
 
-    /** Rolls back the transactions that are still open. */
+    /**
+     * Rolls back the transactions that are still open, those that run a statement after its answer, and refuses new
+     * operations.
+     */
     public fun interruptTransactions() {
-        sessions.toList().filter { !it.isServing }.forEach { it.interruptTransaction() }
+        isInterrupted = true
+        sessions.toList().forEach { it.interrupt() }
+    }
+
+    /** Closes all sessions after an answer to each of their statements. */
+    public fun endSessions() {
+        sessions.toList().forEach { it.end() }
     }
 
     private val isInitialized: Boolean get() = configuration.number > 0 && members != null
@@ -311,6 +321,7 @@
         }
         val session = InteractiveSession(database, key, peer, services)
         sessions += session
+        if (isInterrupted) session.interrupt()
         return SessionOpening.Opened(session)
     }
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -30,7 +30,8 @@
     private var memory = SessionState()
     private var transaction: SessionTransaction? = null
     private var transactionCustomer: CustomerName? = null
-    private var cancelRunning: Cancel? = null
+    private var running: RunningStatement? = null
+    private var isInterrupted = false
     private var lastWritten: HistoryPoint? = null
     private var ended = false
     private var idleTimer: Cancel? = null
@@ -54,7 +55,7 @@
         ended = true
         idleTimer?.invoke()
         queuedStatements.clear()
-        cancelRunning?.invoke()
+        running?.cancel?.invoke()
         transaction?.abandon()
         transaction = null
         services.onEnd(this)
@@ -67,9 +68,30 @@
         disconnected()
     }
 
-    /** Rolls back an open transaction; its next statement fails. */
-    public fun interruptTransaction() {
-        transaction?.abandon()
+    /**
+     * Rolls back an open transaction, after the answer to a statement of it that runs; its next statement fails. New
+     * operations are refused from now on.
+     */
+    public fun interrupt() {
+        isInterrupted = true
+        if (!isServing) transaction?.abandon()
+    }
+
+    /**
+     * Closes the session after an answer to each of its statements. One that runs, whose outcome is not awaited, is in
+     * doubt if it may have written, and rejected otherwise.
+     */
+    public fun end() {
+        interrupt()
+        running?.let(::endRunning)
+        close()
+    }
+
+    private fun endRunning(statement: RunningStatement) {
+        statement.cancel?.invoke()
+        val result = StatementResult.Rejected(statement.codeIfEnded, "the VM stops before the outcome is known")
+        if (statement.codeIfEnded == RejectionCode.IN_DOUBT) transaction = null else transaction?.abandon()
+        answer(statement.call, SessionReply(emptyList(), result, state()), RoutingDetails())
     }
 
     private fun serveNext() {
@@ -121,6 +143,7 @@
     private fun commit(request: RequestId, statement: SessionStatement.Commit) {
         val open = transaction ?: return reject(RejectionCode.MALFORMED, "no transaction is open")
         val call = call(request, open.route, transactionCustomer, StatementAccess.READ, null, statement.text)
+        running = RunningStatement(call, RejectionCode.IN_DOUBT)
         open.commit(call) { reply, written ->
             if (reply.state == TransactionState.IDLE) transaction = null
             written?.let(::recordWrite)
@@ -150,19 +173,19 @@
         val open = transaction
         if (open != null) {
             val call = call(request, open.route, transactionCustomer, access, plan, text)
+            running = RunningStatement(call, RejectionCode.ABORTED)
             open.run(call) { answer(call, it, open.facts(call)) }
             return
         }
         val (route, customer) = admitted() ?: return
         val call = call(request, route, customer, access, plan, text)
-        var isAnswered = false
-        val cancel = services.executor().run(call) { outcome ->
-            isAnswered = true
-            cancelRunning = null
+        val codeIfEnded = if (access == StatementAccess.WRITE) RejectionCode.IN_DOUBT else RejectionCode.ABORTED
+        val statement = RunningStatement(call, codeIfEnded)
+        running = statement
+        statement.cancel = services.executor().run(call) { outcome ->
             outcome.written?.let(::recordWrite)
             answer(call, outcome.reply, outcome.facts)
         }
-        if (!isAnswered) cancelRunning = cancel
     }
 
     /**
@@ -170,6 +193,10 @@
      * Without a route, or if the caller's key is no longer valid, the session is closed as well.
      */
     private fun admitted(): Pair<InteractiveRoute, CustomerName?>? {
+        if (isInterrupted) {
+            reject(RejectionCode.BUSY, "the VM stops")
+            return null
+        }
         val route = services.route(database)
         when (val admission = route?.let { services.admission(it, key) }) {
             is CallerAdmission.Admitted -> return route to admission.customer
@@ -226,9 +253,14 @@
     private fun send(reply: SessionReply) {
         if (ended) return
         isServing = false
+        running = null
         if (reply.state == TransactionState.FAILED) transaction?.failureReported = true
         peer.reply(reply)
-        if (transaction?.failed == false) startIdleTimer()
+        if (isInterrupted) {
+            transaction?.abandon()
+        } else if (transaction?.failed == false) {
+            startIdleTimer()
+        }
         services.onReply(this)
         if (!ended) serveNext()
     }
@@ -238,4 +270,14 @@
         if (limit == Duration.INFINITE) return
         idleTimer = environment.schedule(limit) { transaction?.abandon() }
     }
+
+    /**
+     * A statement that waits for its outcome.
+     *
+     * @property codeIfEnded how it is rejected if the session ends first.
+     */
+    private class RunningStatement(val call: StatementCall, val codeIfEnded: RejectionCode) {
+        /** Cancels the statement; null within a transaction, which is rolled back instead. */
+        var cancel: Cancel? = null
+    }
 }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingSpec.kt
@@ -609,6 +609,26 @@
             expectThat(group.commits).isEqualTo(0)
         }
 
+        /** Such a transaction once went on until the home VM's process ended. */
+        @Test
+        fun `that runs a statement when the leaving home VM interrupts it is aborted afterwards`() {
+            val caller = sender.Caller("current")
+            caller.ask { caller.sendBegin() }
+            caller.ask { caller.sendWrite("t-1") }
+            group.members.forEach { member ->
+                member.workOf = { if (it is MemberCommand.Run) 100.milliseconds else Duration.ZERO }
+            }
+            caller.sendWrite("t-2")
+            loop.advance(20.milliseconds)
+            first.server.interruptTransactions()
+            loop.advance(200.milliseconds)
+            expectThat(caller.codes.last()).isNull()
+            expectThat(runsOf("t-2")).hasSize(1)
+            expectThat(caller.ask { caller.sendCommit("c") }).isEqualTo(RejectionCode.ABORTED)
+            expectThat(group.commits).isEqualTo(0)
+            expectThat(first.server.openOperations).isEqualTo(0)
+        }
+
         @Test
         fun `is not begun at a later statement, as the earlier ones would be missing`() {
             val caller = sender.Caller("current")
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -647,6 +648,86 @@
             busy.ask("e", SessionStatement.Rollback)
             expectThat(busy.closed).isTrue()
         }
+
+        private fun leave() {
+            node.leave()
+            node.closeIdleSessions()
+            node.interruptTransactions()
+        }
+
+        private fun slowStatements() = group.members.forEach { member ->
+            member.workOf = { command ->
+                val isSlow = command is MemberCommand.Run || command is MemberCommand.Commit
+                if (isSlow) 300.milliseconds else Duration.ZERO
+            }
+        }
+
+        /** Such a transaction once went on until the process ended, which cut off the statement that ran then. */
+        @Test
+        fun `answers a statement that runs in a transaction and then rolls the transaction back`() {
+            startNode()
+            val caller = Caller("own")
+            caller.ask("b", SessionStatement.Begin(readOnly = false))
+            caller.write("t")
+            slowStatements()
+            caller.send("u", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(20.milliseconds)
+            leave()
+            loop.advance(400.milliseconds)
+            expectThat(caller.replies.last().result).isEqualTo(StatementResult.Completed("signature-u"))
+            expectThat(caller.read("r").code).isEqualTo(RejectionCode.ABORTED)
+            expectThat(runOf("r")).isEmpty()
+            expectThat(caller.closed).isFalse()
+            caller.ask("e", SessionStatement.Rollback)
+            expectThat(caller.closed).isTrue()
+            expectThat(group.commits).isEqualTo(0L)
+        }
+
+        @Test
+        fun `finishes a commit that runs and refuses the next operation of the session`() {
+            startNode()
+            val caller = Caller("own")
+            caller.ask("b", SessionStatement.Begin(readOnly = false))
+            caller.write("t")
+            slowStatements()
+            caller.send("c", SessionStatement.Commit("COMMIT"))
+            caller.send("w", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            loop.advance(20.milliseconds)
+            leave()
+            loop.advance(400.milliseconds)
+            expectThat(caller.replies.takeLast(2).map { it.code }).containsExactly(null, RejectionCode.BUSY)
+            expectThat(caller.closed).isTrue()
+            expectThat(runOf("w")).isEmpty()
+        }
+
+        /** Statements that a member ran when the process ended once got no answer. */
+        @Test
+        fun `answers all statements before it ends the sessions`() {
+            startNode()
+            val committing = Caller("own").also { it.ask("b", SessionStatement.Begin(readOnly = false)) }
+            val open = Caller("own").also { it.ask("b", SessionStatement.Begin(readOnly = false)) }
+            committing.write("t")
+            open.write("u")
+            slowStatements()
+            committing.send("c", SessionStatement.Commit("COMMIT"))
+            open.send("v", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
+            open.send("queued", SessionStatement.Commit("COMMIT"))
+            val writing = Caller("own").also { it.send("w", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x")) }
+            val reading = Caller("own").also { it.send("r", SessionStatement.Run(StatementAccess.READ, "READ 1")) }
+            loop.advance(20.milliseconds)
+            leave()
+            node.endSessions()
+            expectThat(committing.replies.drop(2).map { it.code }).containsExactly(RejectionCode.IN_DOUBT)
+            expectThat(open.replies.drop(2).map { it.code })
+                .containsExactly(RejectionCode.ABORTED, RejectionCode.ABORTED)
+            expectThat(writing.replies.map { it.code }).containsExactly(RejectionCode.IN_DOUBT)
+            expectThat(reading.replies.map { it.code }).containsExactly(RejectionCode.ABORTED)
+            expectThat(listOf(committing, open, writing, reading).map { it.closed }.toSet()).containsExactly(true)
+            expectThat(node.openSessions).isEqualTo(0)
+            loop.advance(1.seconds)
+            expectThat(committing.replies).hasSize(3)
+            expectThat(writing.replies).hasSize(1)
+        }
     }
 
     private companion object {
