Follow the members beside an entry that is nested deeply

Callers would see: after another writer left one entry of JSON nested 1,000 levels deep among those of the members, VMs followed no change of the members, and VMs that started were never ready.

Cause: parsing and formatting JSON recurse and exceeded the threads' stacks of 256 KiB. The loop of the watch caught exceptions but no errors, so its thread ended while the process went on.

A step of a loop that exceeds the stack counts as broken, and the loop goes on.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
@@ -36,6 +36,7 @@
     GATEWAY_GIVEN_UP(321, Level.INFO, "This VM no longer holds the connections of a member"),
     MEMBER_DISCOVERED(312, Level.INFO, "Discovery names a member, or another life of one"),
     MEMBER_LEAVING(313, Level.INFO, "A member is leaving and gets no new work"),
+    MEMBER_ENTRY_REFUSED(325, Level.WARN, "An entry of discovery could not be read and names no member"),
     MEMBER_GONE(314, Level.INFO, "A member is gone from discovery"),
     PRIMARY_PROVED(315, Level.INFO, "A member proved that it leads its group"),
     PRIMARY_DISPROVED(316, Level.INFO, "A member no longer leads its group"),
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/EventLog.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/EventLog.kt
@@ -22,7 +22,8 @@
 
     /**
      * Runs [task], a step of a loop or of a periodic task that must go on; returns whether it ended normally. An
-     * unexpected exception is logged, an interrupt is passed on.
+     * unexpected exception is logged, an interrupt is passed on. A [StackOverflowError] is logged, too: it comes from
+     * input that is nested deeply, and leaves the thread as it was.
      */
     @Suppress("TooGenericExceptionCaught") // Any exception would end the loop for good.
     public fun runStep(name: String, task: () -> Unit): Boolean = try {
@@ -33,5 +34,8 @@
     } catch (unexpected: Exception) {
         log(Event.TASK_BROKEN, "task" to name, cause = unexpected)
         false
+    } catch (overflow: StackOverflowError) {
+        log(Event.TASK_BROKEN, "task" to name, cause = overflow)
+        false
     }
 }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/event/EventSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/event/EventSpec.kt
@@ -15,6 +15,8 @@
 import org.slf4j.LoggerFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
 import java.nio.file.Path
 import kotlin.io.path.readLines
 
@@ -56,4 +58,17 @@
                 .isEqualTo(listOf("300", "PRIMARY_LOST", "inventory-1", "3", "WARN", Event.PRIMARY_LOST.text))
         }
     }
+
+    @Nested
+    inner class `a step of a loop` {
+        /** Such a step once ended its thread for good, as only exceptions were caught. */
+        @Test
+        fun `that exceeds the stack counts as broken and the loop goes on`() {
+            val events = EventLog()
+            expectThat(events.runStep("recursion") { recurse(0) }).isFalse()
+            expectThat(events.runStep("next") {}).isTrue()
+        }
+
+        private fun recurse(depth: Int): Int = recurse(depth + 1) + depth
+    }
 }
