Read the list of VMs entry by entry

Callers would see: nothing at once; VMs of the product's own interface kept the list that they knew, or started without one, after one entry of another shape had appeared in it.

Cause: the list was decoded as a whole, so one entry that could not be decoded made it unreadable. An exception or an exceeded stack ended the thread that reads it.

Change: entries are decoded one by one; one that cannot be decoded or whose port is out of range names no VM. Nesting is limited before the list is parsed, and a broken step of the two loops is logged and repeated.

Evidence: HttpObjectStoreSpec, "has all VMs beside an odd entry", failed before ("the answer is no list").

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
@@ -9,10 +9,12 @@
 import dev.kumquatknot.core.platform.ObjectVersion
 import dev.kumquatknot.core.platform.StoreFailure
 import dev.kumquatknot.core.platform.StoredObject
+import dev.kumquatknot.proxy.http.NestingLimit
 import dev.kumquatknot.proxy.http.encodeForUri
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
 import java.io.IOException
 import java.net.ConnectException
 import java.net.URI
@@ -93,10 +95,21 @@
             if (response.statusCode() == NOT_MODIFIED && cached != null) {
                 cached.vms.right()
             } else {
-                response.toList<ListedVm>().onRight { cache(response, it) }
+                response.toList<JsonElement>().map { it.mapNotNull(::listedVm) }.onRight { cache(response, it) }
             }
         }
 
+    /** Returns the VM that [entry] lists, or null if the entry is unusable; the others hold. */
+    private fun listedVm(entry: JsonElement): ListedVm? = try {
+        lenientJson.decodeFromJsonElement(ListedVm.serializer(), entry).takeIf { hasValidPort(it.address) }
+    } catch (_: SerializationException) {
+        null
+    }
+
+    private fun hasValidPort(address: String) =
+        address.substringBeforeLast(':', "").isNotEmpty() &&
+            address.substringAfterLast(':').toIntOrNull() in 1..MAXIMUM_PORT
+
     private fun vmsRequest(): HttpRequest.Builder {
         val request = request(uri("/vms")).GET()
         return cachedVmList?.let { request.header("If-None-Match", it.tag) } ?: request
@@ -134,7 +147,11 @@
             ?: StoreFailure.NoAnswer("the answer carries no version").left()
 
     private inline fun <reified T> HttpResponse<String>.toList(): Either<StoreFailure, List<T>> = try {
-        if (statusCode() == OK) Json.decodeFromString<List<T>>(body()).right() else toFailure(null).left()
+        if (statusCode() == OK) {
+            Json.decodeFromString<List<T>>(NestingLimit.apply(body())).right()
+        } else {
+            toFailure(null).left()
+        }
     } catch (failure: SerializationException) {
         StoreFailure.NoAnswer("the answer is no list: ${failure.message}").left()
     }
@@ -155,6 +172,10 @@
         const val NOT_FOUND = 404
         const val PRECONDITION_FAILED = 412
         const val SERVICE_UNAVAILABLE = 503
+        const val MAXIMUM_PORT = 65_535
+
+        /** Entries may gain fields. */
+        val lenientJson = Json { ignoreUnknownKeys = true }
         val refusalStatuses = (400..499) + SERVICE_UNAVAILABLE
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/PlatformWatcher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/PlatformWatcher.kt
@@ -4,6 +4,7 @@
 import dev.kumquatknot.core.platform.ListedVm
 import dev.kumquatknot.core.platform.ObjectStore
 import dev.kumquatknot.proxy.distribution.ConfigurationUpdater
+import dev.kumquatknot.proxy.event.EventLog
 import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -17,6 +18,7 @@
     private val vm: VmName,
     private val store: ObjectStore,
     val configuration: ConfigurationUpdater,
+    private val events: EventLog,
     private val fleetSize: () -> Int,
     private val onList: (List<ListedVm>) -> Unit,
 ) {
@@ -48,7 +50,8 @@
     private fun runLoop(step: () -> Duration) {
         try {
             while (running) {
-                val pause = step()
+                var pause = MINIMUM_LIST_INTERVAL
+                events.runStep("watch the platform") { pause = step() }
                 if (pause > Duration.ZERO) Thread.sleep(pause.inWholeMilliseconds)
             }
         } catch (_: InterruptedException) {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/ProxyNode.kt
@@ -104,6 +104,7 @@
         configuration = ConfigurationUpdater(holder, dependencies.store, dependencies.peers, dependencies.events) {
             applyFleetChanges()
         },
+        events = dependencies.events,
         fleetSize = { membership.view.usable.size },
         onList = { list -> membership.mergeListedVms(list, memberNames()) },
     )
