Serve queued statements in a loop

Callers would see: a session with many statements waiting behind one that takes a while got no answer to a part of them and served nothing more.

Cause: the next queued statement was served from within the answer to the last one. Statements that are answered at once used some of the stack each, and the VM's threads have 256 KiB. Refusing what is queued at a stop did the same.

Change: InteractiveSession serves them in a loop.

Evidence: InteractiveNodeSpec, "a session with many queued statements", failed before with StackOverflowError.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -32,6 +32,7 @@
     private var transactionCustomer: CustomerName? = null
     private var running: RunningStatement? = null
     private var isInterrupted = false
+    private var isServingQueued = false
     private var lastWritten: HistoryPoint? = null
     private var ended = false
     private var idleTimer: Cancel? = null
@@ -46,7 +47,7 @@
     /** Queues [statement]; statements are served in the order of submission. */
     public fun submit(request: RequestId, statement: SessionStatement) {
         queuedStatements.addLast(request to statement)
-        if (!isServing) serveNext()
+        serveQueued()
     }
 
     /** Ends the session after its caller disconnected; an open transaction is rolled back. */
@@ -94,8 +95,24 @@
         answer(statement.call, SessionReply(emptyList(), result, state()), RoutingDetails())
     }
 
-    private fun serveNext() {
-        val (request, statement) = queuedStatements.removeFirstOrNull() ?: return
+    /**
+     * Serves what is queued, up to a statement that has to wait for its answer. A loop, since recursion would exceed
+     * the stack: the caller chooses the number of statements that are answered at once.
+     */
+    private fun serveQueued() {
+        if (isServingQueued) return
+        isServingQueued = true
+        try {
+            while (!isServing && !ended) {
+                val (request, statement) = queuedStatements.removeFirstOrNull() ?: break
+                serve(request, statement)
+            }
+        } finally {
+            isServingQueued = false
+        }
+    }
+
+    private fun serve(request: RequestId, statement: SessionStatement) {
         isServing = true
         idleTimer?.invoke()
         val open = transaction
@@ -262,7 +279,7 @@
             startIdleTimer()
         }
         services.onReply(this)
-        if (!ended) serveNext()
+        serveQueued()
     }
 
     private fun startIdleTimer() {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -632,6 +632,39 @@
         }
     }
 
+    @Nested
+    inner class `a session with many queued statements` {
+        private val count = 100_000
+
+        private fun queue(): Caller {
+            startNode()
+            group.members.forEach { it.workOf = { 300.milliseconds } }
+            return Caller("own").also { caller ->
+                caller.send("r", SessionStatement.Run(StatementAccess.READ, "READ 1"))
+                loop.advance(20.milliseconds)
+                repeat(count) { caller.send("s", SessionStatement.SetValue("a", "$it")) }
+            }
+        }
+
+        /** Each statement that was answered at once used some of the stack for the next one, until it was exceeded. */
+        @Test
+        fun `answers them all`() {
+            val caller = queue()
+            loop.advance(1.seconds)
+            expectThat(caller.replies).hasSize(count + 1)
+            expectThat(caller.replies.all { it.result is StatementResult.Completed }).isTrue()
+        }
+
+        @Test
+        fun `answers them all when the node ends the sessions`() {
+            val caller = queue()
+            node.leave()
+            node.endSessions()
+            expectThat(caller.replies).hasSize(count + 1)
+            expectThat(caller.closed).isTrue()
+        }
+    }
+
     @Nested
     inner class `a node that is leaving` {
         @Test
