Keep the interruption of transactions as state of the node

Cause: each session held a flag of its own, which had to be set again for sessions that opened later. Change: sessions ask the node whether transactions are interrupted. The specs of a node that leaves share the opening of their transactions. Result: InteractiveNodeSpec and the specs of forwarding pass, checks unchanged.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -96,6 +96,7 @@
         admission = ::admission,
         executor = { executor },
         transactionIdle = { configuration.transactionIdle },
+        isInterrupted = { isInterrupted },
         onAnswer = StatementRecorder(environment, ports.metrics)::record,
         onReply = { if (closing && it.isIdle) it.close() },
         onEnd = { sessions.remove(it) },
@@ -303,11 +304,12 @@
      */
     public fun interruptTransactions() {
         isInterrupted = true
-        sessions.toList().forEach { it.interrupt() }
+        sessions.toList().forEach { it.interruptTransaction() }
     }
 
     /** Closes all sessions after an answer to each of their statements. */
     public fun endSessions() {
+        isInterrupted = true
         sessions.toList().forEach { it.end() }
     }
 
@@ -321,7 +323,6 @@
         }
         val session = InteractiveSession(database, key, peer, services)
         sessions += session
-        if (isInterrupted) session.interrupt()
         return SessionOpening.Opened(session)
     }
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -31,7 +31,6 @@
     private var transaction: SessionTransaction? = null
     private var transactionCustomer: CustomerName? = null
     private var running: RunningStatement? = null
-    private var isInterrupted = false
     private var isServingQueued = false
     private var lastWritten: HistoryPoint? = null
     private var ended = false
@@ -69,12 +68,8 @@
         disconnected()
     }
 
-    /**
-     * Rolls back an open transaction, after the answer to a statement of it that runs; its next statement fails. New
-     * operations are refused from now on.
-     */
-    public fun interrupt() {
-        isInterrupted = true
+    /** Rolls back an open transaction unless it runs a statement; its next statement fails. */
+    public fun interruptTransaction() {
         if (!isServing) transaction?.abandon()
     }
 
@@ -83,7 +78,7 @@
      * doubt if it may have written, and rejected otherwise.
      */
     public fun end() {
-        interrupt()
+        interruptTransaction()
         running?.let(::endRunning)
         close()
     }
@@ -210,7 +205,7 @@
      * Without a route, or if the caller's key is no longer valid, the session is closed as well.
      */
     private fun admitted(): Pair<InteractiveRoute, CustomerName?>? {
-        if (isInterrupted) {
+        if (services.isInterrupted()) {
             reject(RejectionCode.BUSY, "the VM stops")
             return null
         }
@@ -273,7 +268,7 @@
         running = null
         if (reply.state == TransactionState.FAILED) transaction?.failureReported = true
         peer.reply(reply)
-        if (isInterrupted) {
+        if (services.isInterrupted()) {
             transaction?.abandon()
         } else if (transaction?.failed == false) {
             startIdleTimer()
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingVm.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/forwarding/ForwardingVm.kt
@@ -131,6 +131,7 @@
             admission = { _, _ -> CallerAdmission.Admitted(customer?.let(::CustomerName)) },
             executor = { executor },
             transactionIdle = { Duration.INFINITE },
+            isInterrupted = { false },
             onAnswer = { call, _, facts -> details[call.request.value] = facts },
             onReply = {},
             onEnd = {},
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -688,6 +688,11 @@
             node.interruptTransactions()
         }
 
+        private fun callerInTransaction() = Caller("own").also { caller ->
+            caller.ask("b", SessionStatement.Begin(readOnly = false))
+            caller.write("t")
+        }
+
         private fun slowStatements() = group.members.forEach { member ->
             member.workOf = { command ->
                 val isSlow = command is MemberCommand.Run || command is MemberCommand.Commit
@@ -699,9 +704,7 @@
         @Test
         fun `answers a statement that runs in a transaction and then rolls the transaction back`() {
             startNode()
-            val caller = Caller("own")
-            caller.ask("b", SessionStatement.Begin(readOnly = false))
-            caller.write("t")
+            val caller = callerInTransaction()
             slowStatements()
             caller.send("u", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
             loop.advance(20.milliseconds)
@@ -719,9 +722,7 @@
         @Test
         fun `finishes a commit that runs and refuses the next operation of the session`() {
             startNode()
-            val caller = Caller("own")
-            caller.ask("b", SessionStatement.Begin(readOnly = false))
-            caller.write("t")
+            val caller = callerInTransaction()
             slowStatements()
             caller.send("c", SessionStatement.Commit("COMMIT"))
             caller.send("w", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
@@ -737,10 +738,8 @@
         @Test
         fun `answers all statements before it ends the sessions`() {
             startNode()
-            val committing = Caller("own").also { it.ask("b", SessionStatement.Begin(readOnly = false)) }
-            val open = Caller("own").also { it.ask("b", SessionStatement.Begin(readOnly = false)) }
-            committing.write("t")
-            open.write("u")
+            val committing = callerInTransaction()
+            val open = callerInTransaction()
             slowStatements()
             committing.send("c", SessionStatement.Commit("COMMIT"))
             open.send("v", SessionStatement.Run(StatementAccess.WRITE, "WRITE 1 x"))
