Use one scan of nested JSON and one reading of addresses

Cause: the callers' interface had a scan for JSON that is nested too deeply already, and NestingLimit was a second one. The check of a host and port stood in three places, of which one let names through that are looked up on the event loop. A refused entry of the list of VMs left no line in the log. Change: StatementJson uses NestingLimit; parseSocketAddress reads addresses of members, of listed VMs and of links to other VMs, as an IP number and a port. Event 225 tells why an entry names no VM.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStore.kt
@@ -11,6 +11,7 @@
 import dev.kumquatknot.core.platform.StoredObject
 import dev.kumquatknot.proxy.http.NestingLimit
 import dev.kumquatknot.proxy.http.encodeForUri
+import dev.kumquatknot.proxy.http.parseSocketAddress
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -32,10 +33,12 @@
  * with [StoreFailure.NoAnswer].
  *
  * @param timeout time limit of a call; a watch may take its own timeout in addition.
+ * @param onRefusedEntry called with the reason for which an entry of the list of VMs names no VM.
  */
 public class HttpObjectStore(
     private val baseUri: URI,
     private val timeout: Duration = ObjectStore.CALL_TIMEOUT,
+    private val onRefusedEntry: (String) -> Unit = {},
 ) : ObjectStore {
     private val client = HttpClient.newBuilder()
         .version(HttpClient.Version.HTTP_1_1)
@@ -45,6 +48,9 @@
     @Volatile
     private var cachedVmList: TaggedVmList? = null
 
+    @Volatile
+    private var refusedEntries = emptySet<String>()
+
     override fun read(key: String): Either<StoreFailure, StoredObject?> =
         send(request(objectUri(key)).GET()).flatMap { response ->
             when (response.statusCode()) {
@@ -95,20 +101,25 @@
             if (response.statusCode() == NOT_MODIFIED && cached != null) {
                 cached.vms.right()
             } else {
-                response.toList<JsonElement>().map { it.mapNotNull(::listedVm) }.onRight { cache(response, it) }
+                response.toList<JsonElement>().map(::listedVms).onRight { cache(response, it) }
             }
         }
 
-    /** Returns the VM that [entry] lists, or null if the entry is unusable; the others hold. */
-    private fun listedVm(entry: JsonElement): ListedVm? = try {
-        lenientJson.decodeFromJsonElement(ListedVm.serializer(), entry).takeIf { hasValidPort(it.address) }
-    } catch (_: SerializationException) {
-        null
+    /** Returns the VMs that [entries] name. An unusable entry is reported when it is new. */
+    private fun listedVms(entries: List<JsonElement>): List<ListedVm> {
+        val read = entries.map(::listedVm)
+        val problems = read.mapNotNull { it.swap().getOrNull() }.toSet()
+        (problems - refusedEntries).forEach(onRefusedEntry)
+        refusedEntries = problems
+        return read.mapNotNull { it.getOrNull() }
     }
 
-    private fun hasValidPort(address: String) =
-        address.substringBeforeLast(':', "").isNotEmpty() &&
-            address.substringAfterLast(':').toIntOrNull() in 1..MAXIMUM_PORT
+    private fun listedVm(entry: JsonElement): Either<String, ListedVm> = try {
+        val vm = lenientJson.decodeFromJsonElement(ListedVm.serializer(), entry)
+        if (parseSocketAddress(vm.address) == null) "the address of ${vm.name} is invalid".left() else vm.right()
+    } catch (failure: SerializationException) {
+        failure.message.orEmpty().lineSequence().first().left()
+    }
 
     private fun vmsRequest(): HttpRequest.Builder {
         val request = request(uri("/vms")).GET()
@@ -172,7 +183,6 @@
         const val NOT_FOUND = 404
         const val PRECONDITION_FAILED = 412
         const val SERVICE_UNAVAILABLE = 503
-        const val MAXIMUM_PORT = 65_535
 
         /** Entries may gain fields. */
         val lenientJson = Json { ignoreUnknownKeys = true }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/StatementJson.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/StatementJson.kt
@@ -7,6 +7,7 @@
 import dev.kumquatknot.core.member.SqlValue
 import dev.kumquatknot.core.member.Statement
 import dev.kumquatknot.core.member.StatementResult
+import dev.kumquatknot.proxy.http.NestingLimit
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
@@ -56,31 +57,12 @@
             Either.catchOrThrow<CharacterCodingException, String> {
                 Charsets.UTF_8.newDecoder().decode(body.duplicate()).toString()
             }.mapLeft { "the body is not UTF-8" }.bind()
-        ensure(!isDeeperThan(MAXIMUM_DEPTH, text)) { "the body is nested deeper than $MAXIMUM_DEPTH levels" }
+        ensure(!NestingLimit.isExceeded(text, MAXIMUM_DEPTH)) { "the body is nested deeper than $MAXIMUM_DEPTH levels" }
         return Either.catchOrThrow<SerializationException, JsonElement> { Json.parseToJsonElement(text) }
             .mapLeft { "the body is not JSON: ${it.message?.lineSequence()?.first().orEmpty()}" }
             .bind()
     }
 
-    /** Returns whether [json] nests deeper than [limit], without the recursion that a parser needs for it. */
-    private fun isDeeperThan(limit: Int, json: String): Boolean {
-        var depth = 0
-        var inString = false
-        var escaped = false
-        json.forEach { character ->
-            when {
-                escaped -> escaped = false
-                inString && character == '\\' -> escaped = true
-                character == '"' -> inString = !inString
-                inString -> Unit
-                character == '{' || character == '[' -> depth += 1
-                character == '}' || character == ']' -> depth -= 1
-            }
-            if (depth > limit) return true
-        }
-        return false
-    }
-
     private fun Raise<String>.statement(path: String, element: JsonElement): Statement {
         ensure(element is JsonObject) { "$path is not an object" }
         ensureKnownFields(element, setOf("text", "parameters"), path)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
@@ -26,6 +26,7 @@
     VM_LEAVING(222, Level.INFO, "A VM is leaving and gets no new work"),
     PEER_MESSAGE_INVALID(223, Level.WARN, "A message of another VM could not be read; its link was closed"),
     FORWARDED_ANSWER_DROPPED(224, Level.INFO, "A forwarded statement ended after the VM that sent it was lost"),
+    VM_ENTRY_REFUSED(225, Level.WARN, "An entry of the list of VMs could not be read and names no VM"),
     PRIMARY_LOST(300, Level.WARN, "A primary does not answer or is no longer followed by a majority"),
     PROMOTION_STARTED(301, Level.INFO, "A promotion has started"),
     PROMOTION_WON(302, Level.INFO, "A promotion has succeeded; the group has a new primary"),
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/TcpPeerNetwork.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/forwarding/TcpPeerNetwork.kt
@@ -8,6 +8,7 @@
 import dev.kumquatknot.proxy.fleet.PeerListener
 import dev.kumquatknot.proxy.fleet.PeerMessage
 import dev.kumquatknot.proxy.fleet.PeerNetwork
+import dev.kumquatknot.proxy.http.parseSocketAddress
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
@@ -95,7 +96,7 @@
     }
 
     private fun open(vm: VmName): PeerLink? {
-        val address = addressOf(vm)?.let(::parseAddress)
+        val address = addressOf(vm)?.let(::parseSocketAddress)
         if (address == null || !mayOpen(vm)) return null
         val link = PeerLink(vm)
         val future = Bootstrap().group(eventLoop)
@@ -265,11 +266,5 @@
 
         /** Bytes written to a link but not sent at which it takes no more; several messages of the maximum size. */
         val WATER_MARK = WriteBufferWaterMark(2 * PeerCodec.MAXIMUM_BYTES, 4 * PeerCodec.MAXIMUM_BYTES)
-
-        fun parseAddress(address: String): InetSocketAddress? =
-            address.substringAfterLast(':').toIntOrNull()?.takeIf { it in 1..MAXIMUM_PORT }
-                ?.let { InetSocketAddress(address.substringBeforeLast(':'), it) }
-
-        const val MAXIMUM_PORT = 65_535
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/NestingLimit.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/http/NestingLimit.kt
@@ -1,18 +1,27 @@
 package dev.kumquatknot.proxy.http
 
 /**
- * Replaces arrays and objects that are nested too deeply in JSON text. Parsers and formatters of JSON recurse, so such
- * a value of one writer would end the thread that reads the values of all of them.
+ * Finds arrays and objects that are nested too deeply in JSON text, without the recursion that a parser or a formatter
+ * needs for them.
  */
 public object NestingLimit {
-    /** Far deeper than the documents that are exchanged, and shallow enough for a stack of 256 KiB. */
+    /** Far deeper than the documents that VMs read from the store, and shallow enough for a stack of 256 KiB. */
     public const val MAXIMUM_DEPTH: Int = 32
 
-    /** Returns [text] with `null` in place of each array and object that is nested deeper than [MAXIMUM_DEPTH]. */
+    /** Returns whether [text] nests deeper than [maximumDepth]. */
+    public fun isExceeded(text: String, maximumDepth: Int): Boolean {
+        scan(text, maximumDepth) { _, _ -> return true }
+        return false
+    }
+
+    /**
+     * Returns [text] with `null` in place of each array and object that is nested deeper than [MAXIMUM_DEPTH], so that
+     * a value of one writer does not keep others from being read.
+     */
     public fun apply(text: String): String {
         var kept: StringBuilder? = null
         var copied = 0
-        scan(text) { start, end ->
+        scan(text, MAXIMUM_DEPTH) { start, end ->
             val target = kept ?: StringBuilder().also { kept = it }
             target.append(text, copied, start).append("null")
             copied = end
@@ -21,19 +30,19 @@
     }
 
     /** Calls [onTooDeep] with the bounds of each outermost value that is too deep; the last one may have no end. */
-    private inline fun scan(text: String, onTooDeep: (start: Int, end: Int) -> Unit) {
+    private inline fun scan(text: String, maximumDepth: Int, onTooDeep: (start: Int, end: Int) -> Unit) {
         var depth = 0
         var start = 0
         var index = 0
         while (index < text.length) {
             when (text[index]) {
                 '"' -> index = endOfString(text, index)
-                '[', '{' -> if (++depth == MAXIMUM_DEPTH + 1) start = index
-                ']', '}' -> if (depth-- == MAXIMUM_DEPTH + 1) onTooDeep(start, index + 1)
+                '[', '{' -> if (++depth == maximumDepth + 1) start = index
+                ']', '}' -> if (depth-- == maximumDepth + 1) onTooDeep(start, index + 1)
             }
             index++
         }
-        if (depth > MAXIMUM_DEPTH) onTooDeep(start, text.length)
+        if (depth > maximumDepth) onTooDeep(start, text.length)
     }
 
     /** Returns the index of the quotation mark that ends the string from [start] on; past [text] if there is none. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/NodeLauncher.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/node/NodeLauncher.kt
@@ -44,11 +44,13 @@
 public class NodeLauncher(private val clock: Clock = SystemClock) {
     /** Builds the node; no server listens before [RunningNode.start]. Fails if the session keys are not available. */
     public fun build(settings: NodeSettings): Either<LaunchFailure, RunningNode> = either {
-        val store = HttpObjectStore(URI("http://${settings.platformAddress}"))
+        val events = EventLog()
+        val store = HttpObjectStore(URI("http://${settings.platformAddress}")) {
+            events.log(Event.VM_ENTRY_REFUSED, "detail" to it)
+        }
         val peers = GrpcPeers()
         val keys = sessionKeys(settings, SessionKeyStore(store), peers).bind()
         val ports = memberPorts(settings).bind()
-        val events = EventLog()
         val recorder = DayRecorder(settings.vm, clock)
         val identity =
             NodeIdentity(settings.vm, settings.dataCentre, settings.nodeAddress, settings.seedAddresses)
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStoreSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/adapter/platform/HttpObjectStoreSpec.kt
@@ -9,11 +9,14 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
 import java.net.URI
 
 class HttpObjectStoreSpec {
     private var body = ""
+    private val refused = ArrayList<String>()
     private val server = WorkerPoolServer(WorkerPoolSettings(address = "127.0.0.1"))
         .toServer { Response(Status.OK).body(body) }
 
@@ -28,7 +31,8 @@
     private fun listed(vararg entries: String): List<String> {
         body = entries.joinToString(",", "[", "]")
         server.start()
-        val store = HttpObjectStore(URI("http://127.0.0.1:${server.port()}"))
+        val store = HttpObjectStore(URI("http://127.0.0.1:${server.port()}")) { refused += it }
+        store.vms()
         return store.vms().getOrElse { error("$it") }.map { it.name.value }
     }
 
@@ -48,6 +52,8 @@
             )
             expectThat(listed(entry("first"), *odd.toTypedArray(), entry("last", more = ",\"newField\":$deep")))
                 .containsExactly("first", "last")
+            expectThat(refused).contains("the address of port is invalid")
+            expectThat(refused.distinct()).isEqualTo(refused)
         }
     }
 }
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/http/NestingLimitSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/http/NestingLimitSpec.kt
@@ -27,6 +27,12 @@
 
     @Nested
     inner class `a value that is nested too deeply` {
+        @Test
+        fun `exceeds the limit, whether it has an end or not`() {
+            val texts = listOf(nested(8), nested(9), "[".repeat(9), """["${nested(9)}"]""")
+            expectThat(texts.map { NestingLimit.isExceeded(it, 8) }).isEqualTo(listOf(false, true, true, false))
+        }
+
         @Test
         fun `becomes null and what stands beside it stays`() {
             val deep = nested(500_000)
