Answer queued statements before a session without a route is closed

Callers would see: statements that were sent behind one refused for a missing route or key stayed without an answer.

Cause: since queued statements are served in a loop, the session was closed before the loop went on; the recursion before had answered them first.

Change: the refusal marks the session, which is closed once nothing is queued.

Evidence: InteractiveNodeSpec, "is closed after its route was removed only when all its statements are answered", failed before with two answers of three.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -32,6 +32,7 @@
     private var transactionCustomer: CustomerName? = null
     private var running: RunningStatement? = null
     private var isServingQueued = false
+    private var isClosing = false
     private var lastWritten: HistoryPoint? = null
     private var ended = false
     private var idleTimer: Cancel? = null
@@ -105,6 +106,7 @@
         } finally {
             isServingQueued = false
         }
+        if (isClosing && !isServing) close()
     }
 
     private fun serve(request: RequestId, statement: SessionStatement) {
@@ -202,7 +204,7 @@
 
     /**
      * Returns the route in force and the customer of the caller. Otherwise rejects the statement and returns null.
-     * Without a route, or if the caller's key is no longer valid, the session is closed as well.
+     * Without a route, or if the caller's key is no longer valid, the session is closed once all is answered.
      */
     private fun admitted(): Pair<InteractiveRoute, CustomerName?>? {
         if (services.isInterrupted()) {
@@ -219,7 +221,7 @@
             }
             null -> reject(RejectionCode.UNKNOWN_DATABASE, "no database is called $database")
         }
-        close()
+        isClosing = true
         return null
     }
 
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNodeSpec.kt
@@ -467,6 +467,20 @@
             expectThat(caller.closed).isTrue()
         }
 
+        /** The session was once closed before the answers to statements that were queued behind the first one. */
+        @Test
+        fun `is closed after its route was removed only when all its statements are answered`() {
+            startNode()
+            val caller = Caller("own")
+            group.members.forEach { it.workOf = { 300.milliseconds } }
+            listOf("r", "s", "t").forEach { caller.send(it, SessionStatement.Run(StatementAccess.READ, "READ 1")) }
+            node.configure(configuration(2, setOf("bounded")))
+            loop.advance(1.seconds)
+            expectThat(caller.replies.map { it.code })
+                .containsExactly(null, RejectionCode.UNKNOWN_DATABASE, RejectionCode.UNKNOWN_DATABASE)
+            expectThat(caller.closed).isTrue()
+        }
+
         @Test
         fun `keeps the newest configuration when an older one arrives late`() {
             startNode()
