--- a/review/standin-2/CrowdDuringCut.java
+++ b/review/standin-2/CrowdDuringCut.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * All clients of one process book at the same moment, and the primary is cut off from this process for a while then;
- * three times. Later bookings have to be served.
+ * The final fault: all processes are killed. While they recover, all clients of one process book at the same moment, and
+ * the primary is cut off from this process for a while then; three times. Later bookings have to be served.
  */
 public final class CrowdDuringCut {
     private static final int USERS = Integer.getInteger("users", 250);
@@ -24,7 +24,7 @@
     private static volatile AtomicInteger sent = new AtomicInteger();
     private static volatile AtomicInteger served = new AtomicInteger();
 
-    public static void main(String[] arguments) throws IOException {
+    public static void main(String[] arguments) {
         Deployment.play(arguments, CrowdDuringCut::run);
     }
 
@@ -43,6 +43,22 @@
         Thread.sleep(4_000);
         count(record, 6_000, "before");
         double before = share();
+        deployment.platform.put("config", "main", Deployment.configuration(9, group));
+        if (trouble) {
+            record.line("case", "version 9 is acknowledged; all processes are killed");
+            for (Vm each : deployment.vms) each.end();
+            Thread.sleep(600);
+            for (Vm each : deployment.vms) {
+                if (each == vm) Thread.sleep(300);
+                each.start();
+            }
+            for (Vm each : deployment.vms) each.awaitReady(20_000);
+            record.line("case", "all processes are ready");
+        }
+        Thread.sleep(5_000);
+        if (deployment.platform.holds("duties/failover", vm.name + "/")) {
+            throw new IllegalStateException(vm.name + " decides failovers now, as it came back first");
+        }
         for (int cut = 1; cut <= CUTS; cut++) {
             waiting.set(0);
             burst = new CountDownLatch(1);
--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -14,6 +14,9 @@
         boolean run(Deployment deployment, boolean trouble) throws IOException, InterruptedException;
     }
 
+    private static final int HELD = 0;
+    private static final int BROKEN = 1;
+    private static final int COULD_NOT_RUN = 2;
     final Map<String, String> zones = new LinkedHashMap<>();
     final Record record;
     final Platform platform;
@@ -41,25 +44,37 @@
     }
 
     /** Runs [body] with the folder of the case and the root of the repository as [arguments]; ends the JVM. */
-    static void play(String[] arguments, Body body) throws IOException {
+    static void play(String[] arguments, Body body) {
+        int status = COULD_NOT_RUN;
+        try {
+            status = playOnce(arguments, body);
+        } catch (IOException failure) {
+            System.out.println("the case could not run: " + failure);
+        }
+        System.exit(status);
+    }
+
+    private static int playOnce(String[] arguments, Body body) throws IOException {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         java.nio.file.Path temporary = Files.createTempDirectory("kumquatknot-review");
-        int status = 2;
         try (Record record = new Record(java.nio.file.Path.of(arguments[0], "record.txt"))) {
-            Deployment deployment = new Deployment(record, java.nio.file.Path.of(arguments[1]).toAbsolutePath(), temporary);
+            java.nio.file.Path root = java.nio.file.Path.of(arguments[1]).toAbsolutePath();
+            Deployment deployment = new Deployment(record, root, temporary);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> deployment.vms.forEach(Vm::end)));
+            int status = COULD_NOT_RUN;
             try {
-                status = body.run(deployment, trouble) ? 0 : 1;
-            } catch (IOException | IllegalStateException | InterruptedException failure) {
+                status = body.run(deployment, trouble) ? HELD : BROKEN;
+            } catch (IOException | RuntimeException | InterruptedException failure) {
                 record.result("the case could not run: " + failure);
             } finally {
                 deployment.vms.forEach(Vm::end);
             }
             record.result("exit status " + status);
+            return status;
+        } finally {
+            if (System.getenv("KEEP") == null) delete(temporary);
+            else System.out.println("logs of the processes: " + temporary);
         }
-        if (System.getenv("KEEP") == null) delete(temporary);
-        else System.out.println("logs of the processes: " + temporary);
-        System.exit(status);
     }
 
     private static void delete(java.nio.file.Path folder) throws IOException {
--- a/review/standin-2/ReleaseWhileReplicaIsDeaf.java
+++ b/review/standin-2/ReleaseWhileReplicaIsDeaf.java
@@ -17,7 +17,7 @@
     private static final int WRITERS = 6;
     private static final boolean CRASH = Boolean.getBoolean("crash");
 
-    public static void main(String[] arguments) throws IOException {
+    public static void main(String[] arguments) {
         Deployment.play(arguments, ReleaseWhileReplicaIsDeaf::run);
     }
 
--- a/review/standin-2/ShapesWithBlanks.java
+++ b/review/standin-2/ShapesWithBlanks.java
@@ -4,7 +4,7 @@
 public final class ShapesWithBlanks {
     private static int wrong;
 
-    public static void main(String[] arguments) throws IOException {
+    public static void main(String[] arguments) {
         Deployment.play(arguments, ShapesWithBlanks::run);
     }
 
