--- a/review/standin-2/Path.java
+++ b/review/standin-2/Path.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -27,8 +28,12 @@
     void cut() throws IOException {
         listener.close();
         for (Socket socket : open) {
-            socket.setSoLinger(true, 0);
-            socket.close();
+            try {
+                socket.setSoLinger(true, 0);
+            } catch (SocketException ended) {
+                // Its process has closed it meanwhile.
+            }
+            Record.close(socket);
         }
     }
 
