Name prepared statements by a hash of their shape

Cause: the name of a plan on a connection was its prefix and the shape as it is, where the protocol expects one word.

It is one word of 45 characters whatever the shape holds, and it still derives from the content, so that a connection whose state is unexpected never runs another shape.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/SessionState.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/SessionState.kt
@@ -20,7 +20,7 @@
 /**
  * Session state that is set up on a connection to a member, so that the connection can be given to any session.
  *
- * Prepared plans are shared among sessions: each has a name on the connection that is derived from the plan itself.
+ * Prepared plans are shared among sessions by their [StatementPlan.sharedName].
  *
  * @property uncertain whether the actual state may differ from the recorded one; the connection is reset before use.
  */
@@ -44,7 +44,7 @@
         val commands = buildList {
             if (reset) add(MemberCommand.Reset)
             changed.forEach { (name, value) -> add(MemberCommand.SetValue(name, value)) }
-            missing?.let { add(MemberCommand.Prepare(planName(it), it)) }
+            missing?.let { add(MemberCommand.Prepare(it.sharedName, it)) }
         }
         return PreparedConnection(commands, ConnectionState(wanted, base.plans + setOfNotNull(missing)))
     }
@@ -52,10 +52,6 @@
     public companion object {
         /** Number of prepared plans at which a connection is reset, which limits its memory use at the member. */
         public const val MAXIMUM_PLANS: Int = 200
-
-        /** Returns the name under which [plan] is prepared on every connection. */
-        public fun planName(plan: StatementPlan): String =
-            (if (plan.access == StatementAccess.READ) "r_" else "w_") + plan.shape
     }
 }
 
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/SessionStatement.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/SessionStatement.kt
@@ -1,5 +1,9 @@
 package dev.kumquatknot.core.interactive
 
+import java.nio.ByteBuffer
+import java.security.MessageDigest
+import java.util.Base64
+
 /** Whether a statement only reads. */
 public enum class StatementAccess {
     READ,
@@ -37,4 +41,26 @@
 }
 
 /** Content of a prepared statement; [shape] is opaque to the proxy. */
-public data class StatementPlan(val access: StatementAccess, val shape: String)
+public data class StatementPlan(val access: StatementAccess, val shape: String) {
+    /**
+     * Name under which the plan is prepared on every connection: one word of letters, digits, `_` and `-` whose length
+     * does not depend on the shape. It contains a cryptographic hash, so that callers cannot choose two shapes that
+     * have the same name.
+     */
+    public val sharedName: String by lazy(LazyThreadSafetyMode.PUBLICATION) {
+        // The code units are hashed, since encoding would map all unpaired surrogates to the same bytes.
+        val content = ByteBuffer.allocate(shape.length * Char.SIZE_BYTES)
+        content.asCharBuffer().put(shape)
+        val hash = MessageDigest.getInstance(HASH_ALGORITHM).digest(content.array())
+        prefix + Base64.getUrlEncoder().withoutPadding().encodeToString(hash)
+    }
+
+    private val prefix get() = if (access == StatementAccess.READ) "r_" else "w_"
+
+    public companion object {
+        /** Number of characters in every [sharedName]. */
+        public const val SHARED_NAME_LENGTH: Int = 45
+
+        private const val HASH_ALGORITHM = "SHA-256"
+    }
+}
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/interactive/ConnectionStateSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/interactive/ConnectionStateSpec.kt
@@ -50,18 +50,10 @@
             expectThat(after.commandsFor(emptyMap(), StatementPlan(StatementAccess.READ, "q2c"))).isEmpty()
         }
 
-        @Test
-        fun `of equal shape for reading and writing have different names`() {
-            expectThat(
-                ConnectionState.planName(plan) == ConnectionState.planName(plan.copy(access = StatementAccess.WRITE)),
-            )
-                .isEqualTo(false)
-        }
-
         @Test
         fun `are prepared again after a reset`() {
             val state = ConnectionState(mapOf("other" to "1"), setOf(plan))
-            expectThat(state.commandsFor(emptyMap(), plan)).contains(MemberCommand.Prepare("r_q2c", plan))
+            expectThat(state.commandsFor(emptyMap(), plan)).contains(MemberCommand.Prepare(plan.sharedName, plan))
         }
 
         @Test
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/StatementCall.kt
@@ -7,7 +7,6 @@
 import dev.kumquatknot.core.identity.KindName
 import dev.kumquatknot.core.identity.RequestId
 import dev.kumquatknot.core.identity.TeamName
-import dev.kumquatknot.core.interactive.ConnectionState
 import dev.kumquatknot.core.interactive.InteractiveRoute
 import dev.kumquatknot.core.interactive.MemberCommand
 import dev.kumquatknot.core.interactive.RejectionCode
@@ -47,7 +46,7 @@
         if (plan == null) {
             MemberCommand.Run(request, access, text, after)
         } else {
-            MemberCommand.Execute(request, access, ConnectionState.planName(plan), text, after)
+            MemberCommand.Execute(request, access, plan.sharedName, text, after)
         }
 
     /** Returns the admission request of the statement. */
