--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/SessionStatement.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/SessionStatement.kt
@@ -36,8 +36,9 @@
     /** Removes the plan called [name]. */
     public data class Deallocate(val name: String) : SessionStatement
 
-    /** Input that cannot be parsed as a statement; [detail] is the reason. */
-    public data class Malformed(val detail: String) : SessionStatement
+    /** Input that cannot be served as a statement; [detail] is the reason and [code] tells the caller its kind. */
+    public data class Malformed(val detail: String, val code: RejectionCode = RejectionCode.MALFORMED) :
+        SessionStatement
 }
 
 /** Content of a prepared statement; [shape] is opaque to the proxy. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveSession.kt
@@ -123,7 +123,7 @@
             is SessionStatement.SetValue -> updateMemory(memory.with(statement))
             is SessionStatement.Prepare -> updateMemory(memory.with(statement))
             is SessionStatement.Deallocate -> deallocate(statement.name)
-            is SessionStatement.Malformed -> reject(RejectionCode.MALFORMED, statement.detail)
+            is SessionStatement.Malformed -> reject(statement.code, statement.detail)
         }
     }
 
