Refuse texts over HTTP that the protocols behind cannot carry

Callers saw: an unpaired surrogate in a statement or parameter was sent to another VM as a question mark, so that another text ran. A text with U+0000 was passed on, although PostgreSQL's protocol ends the text of a statement there and has other fields behind it.

Change: StatementJson refuses both with 400 and the path of the field. A parameter with U+0000 is still passed on, as it is sent with its length.

Evidence: CallerApiSpec, two specs on rejected texts, failed before (200 instead of 400) and pass. What the JDBC driver does with U+0000 was not run.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/StatementJson.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/caller/StatementJson.kt
@@ -69,6 +69,9 @@
         val text = element["text"]
         ensure(text is JsonPrimitive && text.isString) { "$path.text is not a string" }
         ensure(text.content.isNotBlank()) { "$path.text is empty" }
+        ensure(isUnicode(text.content)) { "$path.text has an unpaired surrogate, which is no character" }
+        // PostgreSQL's protocol ends the text of a statement at this character and reads what follows as other fields.
+        ensure('\u0000' !in text.content) { "$path.text has the character U+0000" }
         val parameters = element["parameters"] ?: JsonArray(emptyList())
         ensure(parameters is JsonArray) { "$path.parameters is not an array" }
         ensure(parameters.size <= MAXIMUM_PARAMETERS) {
@@ -81,12 +84,20 @@
         ensure(element is JsonPrimitive) { "$path is not a string, number, truth value or null" }
         return when {
             element is JsonNull -> SqlValue.Null
-            element.isString -> SqlValue.Text(element.content)
+            element.isString -> text(path, element.content)
             element.content == "true" || element.content == "false" -> SqlValue.Bool(element.content.toBoolean())
             else -> number(path, element.content)
         }
     }
 
+    private fun Raise<String>.text(path: String, content: String): SqlValue {
+        ensure(isUnicode(content)) { "$path has an unpaired surrogate, which is no character" }
+        return SqlValue.Text(content)
+    }
+
+    /** Whether [text] can be encoded; every unpaired surrogate would be sent to other VMs as a question mark. */
+    private fun isUnicode(text: String) = Charsets.UTF_8.newEncoder().canEncode(text)
+
     private fun Raise<String>.number(path: String, text: String): SqlValue {
         ensure(NUMBER.matches(text)) { "$path is not a string, number, truth value or null" }
         if (INTEGER.matches(text)) {
--- a/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/CallerApiSpec.kt
+++ b/kumquatknot-proxy/src/test/kotlin/dev/kumquatknot/proxy/caller/CallerApiSpec.kt
@@ -94,6 +94,27 @@
             )
         }
 
+        /** Unpaired surrogates were once sent to other VMs as question marks, so that another text ran. */
+        @Test
+        fun `is rejected if its text cannot be encoded`() {
+            listOf("""{"text":"q\ud800"}""", """{"text":"q","parameters":["\udc00x"]}""").forEach { statement ->
+                val response = api.post("$DATABASE/read", "browse", body = """{"statements":[$statement]}""")
+                expectThat(response.status.code).isEqualTo(400)
+                expectThat(response.bodyString()).contains("has an unpaired surrogate")
+            }
+            expectThat(api.receivedRequests).isEmpty()
+        }
+
+        /** In PostgreSQL's protocol the text ends at this character, and its rest would be read as other fields. */
+        @Test
+        fun `is rejected if its text contains the character that ends texts at the member`() {
+            val body = """{"statements":[{"text":"select 1\u0000\u0000\u0001"}]}"""
+            val response = api.post("$DATABASE/read", "browse", body = body)
+            expectThat(response.status.code).isEqualTo(400)
+            expectThat(response.bodyString()).contains("has the character U+0000")
+            expectThat(api.receivedRequests).isEmpty()
+        }
+
         @Test
         fun `uses the session token of the request`() {
             api.post("$DATABASE/read", "browse", "Kumquatknot-Session" to api.tokenOf(api.pesebre))
