Promote only a member that has every acknowledged commit

Cause: a replica whose slots are in use answers a report with BUSY. After 0.8 s without its report the best of those that reported was promoted. syncReplicas was not read, and nothing compared logs with acknowledgements.

Change: PromotionCandidates. An acknowledged commit is in the logs of n + 1 members, so a member is promoted once enough members, itself included, are known to have received no more than it has; only a report asked for after the reason for the failover shows how much another one has at most. Who lacks what a replica was seen to have is not promoted while others are listed. A leaving replica is promoted if the others lack what it has. Without synchronous replicas the wait stays at 0.8 s, and the longest known log wins, also of a member that answers without a report. FAILOVER_ORDERED and the new FAILOVER_WAITING (326) show each member's log and report.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
@@ -13,8 +13,8 @@
  * @property failingSince time since which every request to it has failed; null where the last one was answered.
  * @property failures consecutive failed requests, each on a connection of its own.
  * @property refusing whether its address refuses connections, as after a crash of the process.
- * @property received end of the log that it is known to have received.
- * @property reportedAt time at which that report arrived; null where there is none.
+ * @property received end of the log that it is known to have received; it may have received more.
+ * @property report its last report; null where there is none.
  */
 public data class ObservedMember(
     val name: MemberName,
@@ -24,9 +24,12 @@
     val failures: Int,
     val refusing: Boolean,
     val received: HistoryPoint?,
-    val reportedAt: Duration?,
+    val report: ReceivedReport?,
 )
 
+/** Report of a member, asked for at [requestedAt] and answered at [answeredAt], that its log ended at [received]. */
+public data class ReceivedReport(val received: HistoryPoint, val requestedAt: Duration, val answeredAt: Duration)
+
 /** Why a promotion is ordered. */
 public enum class FailoverReason {
     PRIMARY_SILENT,
@@ -36,21 +39,26 @@
     NO_PRIMARY,
 }
 
-/** Order to promote [candidate], whose last report had its log end at [received]. */
+/** Order to promote [candidate], whose log is known to have reached [received]. */
 public data class FailoverOrder(val candidate: MemberName, val received: HistoryPoint, val reason: FailoverReason)
 
 /**
- * Decides when one group needs a new primary and which member to promote: the reachable replica with the longest log.
+ * Decides when one group needs a new primary and which member to promote; see [PromotionCandidates] for the latter.
  *
  * Confined to one thread.
  */
 public class FailoverDecision(private val timing: FailoverTiming = FailoverTiming()) {
+    private val candidates = PromotionCandidates(timing)
     private var orderedCandidate: MemberName? = null
     private var lastOrderAt = Duration.ZERO
     private var noPrimarySince: Duration? = null
     private var reasonSince: Duration? = null
     private var lastStallOrderAt = -Duration.INFINITE
 
+    /** Why a new primary is needed while no member may be promoted yet; null if none is needed or one was ordered. */
+    public var unmetReason: FailoverReason? = null
+        private set
+
     /** Records that the promotion of [candidate] was ordered at [now]. */
     public fun recordOrder(candidate: MemberName, now: Duration) {
         orderedCandidate = candidate
@@ -68,6 +76,7 @@
      * @param proved whether [primary] has proved its role.
      * @param replicationStalledSince time since which no replica has received what the primary commits; null if one
      * has.
+     * @param replication how commits of the group are acknowledged.
      */
     public fun decide(
         members: List<ObservedMember>,
@@ -75,25 +84,20 @@
         proved: Boolean,
         now: Duration,
         replicationStalledSince: Duration? = null,
+        replication: ObservedReplication = ObservedReplication(),
     ): FailoverOrder? {
+        unmetReason = null
         if (orderedCandidate == primary && proved) orderedCandidate = null
         if (orderedCandidate != null && now - lastOrderAt < timing.orderTimeout) return null
-        val reason = reasonFor(members.firstOrNull { it.name == primary }, proved, now)
-            ?: stallReason(replicationStalledSince, now)
-        reasonSince = if (reason == null) null else reasonSince ?: now
-        return reason?.let { choose(members.filter { it.name != primary && !it.leaving }, it, now) }
-    }
-
-    private fun choose(replicas: List<ObservedMember>, reason: FailoverReason, now: Duration): FailoverOrder? {
-        val isReportMissing = replicas.any { mayRespondSoon(it, now) }
-        if (isReportMissing && now - (reasonSince ?: now) < timing.reportWait) return null
-        val candidates = replicas.filter { isResponding(it, now) }
-        if (reason == FailoverReason.REPLICATION_STALLED) {
-            if (candidates.size < REPLICAS_AFTER_STALL) return null
-            lastStallOrderAt = now
-        }
-        return candidates.mapNotNull { member -> member.received?.let { FailoverOrder(member.name, it, reason) } }
-            .maxWithOrNull(compareBy<FailoverOrder> { it.received }.thenBy { it.candidate })
+        val current = members.firstOrNull { it.name == primary }
+        val reason = reasonFor(current, proved, now) ?: stallReason(replicationStalledSince, now)
+        val since = if (reason == null) null else reasonSince ?: now
+        reasonSince = since
+        if (reason == null || since == null) return null
+        val chosen = candidates.choose(members, primary, reason, since, now, replication)
+        if (chosen != null && reason == FailoverReason.REPLICATION_STALLED) lastStallOrderAt = now
+        unmetReason = reason.takeIf { chosen == null }
+        return chosen?.received?.let { FailoverOrder(chosen.name, it, reason) }
     }
 
     /**
@@ -107,16 +111,20 @@
         }
     }
 
-    private fun reasonFor(primary: ObservedMember?, proved: Boolean, now: Duration): FailoverReason? {
+    private fun reasonFor(
+        primary: ObservedMember?,
+        proved: Boolean,
+        now: Duration,
+    ): FailoverReason? {
         if (primary == null) {
             val since = noPrimarySince ?: now.also { noPrimarySince = it }
             return FailoverReason.NO_PRIMARY.takeIf { now - since > timing.noPrimaryTimeout }
         }
         if (proved) noPrimarySince = null
-        return if (primary.leaving) FailoverReason.PRIMARY_LEAVING else primaryFailureReason(primary, now)
+        return if (primary.leaving) FailoverReason.PRIMARY_LEAVING else failureReason(primary, now)
     }
 
-    private fun primaryFailureReason(primary: ObservedMember, now: Duration): FailoverReason? {
+    private fun failureReason(primary: ObservedMember, now: Duration): FailoverReason? {
         val failingFor = primary.failingSince?.let { now - it } ?: return null
         return when {
             primary.failures < MINIMUM_FAILURES -> null
@@ -126,20 +134,9 @@
         }
     }
 
-    private fun isResponding(member: ObservedMember, now: Duration) =
-        member.failingSince == null && member.reportedAt != null && now - member.reportedAt <= timing.maximumReportAge
-
-    private fun mayRespondSoon(member: ObservedMember, now: Duration) =
-        !isResponding(member, now) && member.failures < MINIMUM_FAILURES && member.answeredAt != null
-
-    private companion object {
+    internal companion object {
+        /** Consecutive failures from which on a member counts as failing. */
         const val MINIMUM_FAILURES = 2
-
-        /**
-         * Replicas that must report before a primary that still answers is replaced: a single one may lack commits that
-         * another replica has confirmed, and the primary itself would lose them.
-         */
-        const val REPLICAS_AFTER_STALL = 2
     }
 }
 
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/InteractiveConfiguration.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/InteractiveConfiguration.kt
@@ -47,6 +47,8 @@
  * @property connections maximum of connections that a member of each group accepts from all VMs together.
  * @property transactionIdle idle time after which an open transaction may be ended.
  * @property customers the organisations whose callers are served; empty if callers need no key.
+ * @property synchronousReplicas number of replicas that must have received a commit of a group before its primary
+ * acknowledges it; 0 for groups that are not listed.
  */
 public data class InteractiveConfiguration(
     val number: Long,
@@ -54,6 +56,7 @@
     val connections: Map<DatabaseName, Int>,
     val transactionIdle: Duration,
     val customers: CustomerDirectory = CustomerDirectory.EMPTY,
+    val synchronousReplicas: Map<DatabaseName, Int> = emptyMap(),
 ) {
     public companion object {
         /** Placeholder before the first configuration; without routes, nothing is served. */
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecisionSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecisionSpec.kt
@@ -27,9 +27,12 @@
         failures = 0,
         refusing = false,
         received = HistoryPoint(Term(1), LogPosition(received)),
-        reportedAt = now - 100.milliseconds,
+        report = report(received, now - 100.milliseconds),
     )
 
+    private fun report(received: Long, at: Duration) =
+        ReceivedReport(HistoryPoint(Term(1), LogPosition(received)), requestedAt = at, answeredAt = at)
+
     private fun failing(name: String, since: Duration, refusing: Boolean = false, failures: Int = 3) =
         healthy(name).copy(failingSince = now - since, failures = failures, refusing = refusing)
 
@@ -55,13 +58,13 @@
 
         @Test
         fun `while a replica may still report a longer log`() {
-            val silent = healthy("c").copy(reportedAt = now - 5.seconds)
+            val silent = healthy("c").copy(report = report(10, now - 5.seconds))
             expectThat(decide(failing("primary", 5.seconds), healthy("b"), silent)).isNull()
         }
 
         @Test
         fun `on a report that may lack what another replica has confirmed since`() {
-            val outdated = healthy("b").copy(reportedAt = now - 400.milliseconds)
+            val outdated = healthy("b").copy(report = report(10, now - 400.milliseconds))
             expectThat(decide(failing("primary", 5.seconds), outdated)).isNull()
         }
 
@@ -101,10 +104,10 @@
 
         @Test
         fun `does not wait for ever for a replica that answers but reports nothing, as its slots are in use`() {
-            val busy = healthy("c").copy(reportedAt = now - 5.seconds)
+            val busy = healthy("c").copy(report = report(10, now - 5.seconds))
             decide(failing("primary", 2.seconds), healthy("b"), busy)
             val later = now + 800.milliseconds
-            val fresh = healthy("b").copy(reportedAt = later)
+            val fresh = healthy("b").copy(report = report(10, later))
             val order = decide(failing("primary", 2.seconds), fresh, busy, at = later)
             expectThat(order).isNotNull().get { candidate }.isEqualTo(MemberName("b"))
         }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/event/Event.kt
@@ -42,6 +42,7 @@
     PRIMARY_PROVED(315, Level.INFO, "A member proved that it leads its group"),
     PRIMARY_DISPROVED(316, Level.INFO, "A member no longer leads its group"),
     FAILOVER_ORDERED(317, Level.WARN, "A member is ordered to lead its group"),
+    FAILOVER_WAITING(326, Level.WARN, "A group needs a primary, but no member may be promoted yet"),
     FAILOVER_ANSWERED(318, Level.INFO, "The order to lead was answered"),
     DUTY_TAKEN(319, Level.INFO, "This VM now decides failovers"),
     DUTY_LOST(322, Level.INFO, "This VM no longer decides failovers"),
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
@@ -2,7 +2,9 @@
 
 import dev.kumquatknot.core.databasegroup.FailoverDecision
 import dev.kumquatknot.core.databasegroup.FailoverOrder
+import dev.kumquatknot.core.databasegroup.FailoverReason
 import dev.kumquatknot.core.databasegroup.ObservedMember
+import dev.kumquatknot.core.databasegroup.ObservedReplication
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.platform.OrderPromotion
 import dev.kumquatknot.core.platform.PromotionAnswer
@@ -29,6 +31,7 @@
     private val environment = node.nodeEnvironment
     private val decisions = HashMap<DatabaseName, FailoverDecision>()
     private val groupsBeingOrdered = HashSet<DatabaseName>()
+    private val waitingGroups = HashSet<DatabaseName>()
     private var lastUsedToken = 0L
     private var leaseHeldSince: Duration? = null
 
@@ -65,12 +68,17 @@
         val decision = decisions.getOrPut(group.group) { FailoverDecision() }
         val facts = group.all.map { it.toFacts() }
         val stalledSince = group.confirmer.stalledSince
-        val next = decision.decide(facts, group.belief.primary, group.belief.isProved, now, stalledSince) ?: return
+        val replication =
+            ObservedReplication(node.configuration.synchronousReplicas[group.group] ?: 0, group.replicated)
+        val next =
+            decision.decide(facts, group.belief.primary, group.belief.isProved, now, stalledSince, replication)
+        logWait(group, decision.unmetReason, facts, now)
+        if (next == null) return
         decision.recordOrder(next.candidate, now)
         groupsBeingOrdered += group.group
         if (token > lastUsedToken) {
             lastUsedToken = token
-            send(group, decision, next, token)
+            send(group, decision, next, facts, token)
         } else {
             leaseRenewer.advanceToken { advanced ->
                 environment.schedule(Duration.ZERO) {
@@ -79,14 +87,39 @@
                         decision.clearOrder()
                     } else {
                         lastUsedToken = advanced
-                        send(group, decision, next, advanced)
+                        send(group, decision, next, facts, advanced)
                     }
                 }
             }
         }
     }
 
-    private fun send(group: GroupPools, decision: FailoverDecision, next: FailoverOrder, token: Long) {
+    private fun logWait(group: GroupPools, reason: FailoverReason?, members: List<ObservedMember>, now: Duration) {
+        if (reason == null) waitingGroups -= group.group
+        if (reason == null || !waitingGroups.add(group.group)) return
+        environment.events.log(
+            Event.FAILOVER_WAITING,
+            "group" to group.group.value,
+            "reason" to reason.name,
+            "previous" to group.belief.primary?.value,
+            "replicated" to group.replicated?.toString(),
+            "members" to describe(members, now),
+        )
+    }
+
+    private fun describe(members: List<ObservedMember>, now: Duration): String = members.joinToString("; ") { member ->
+        val reportAge = member.report?.let { (now - it.requestedAt).inWholeMilliseconds }
+        val failing = member.failingSince?.let { " failingMs=${(now - it).inWholeMilliseconds}" }.orEmpty()
+        "${member.name} received=${member.received} reported=${member.report?.received} reportAgeMs=$reportAge$failing"
+    }
+
+    private fun send(
+        group: GroupPools,
+        decision: FailoverDecision,
+        next: FailoverOrder,
+        members: List<ObservedMember>,
+        token: Long,
+    ) {
         metrics.failoverOrdered(next.reason)
         environment.events.log(
             Event.FAILOVER_ORDERED,
@@ -96,6 +129,7 @@
             "reason" to next.reason.name,
             "previous" to group.belief.primary?.value,
             "token" to token,
+            "members" to describe(members, environment.now()),
         )
         executor.execute {
             val answer = order(PromotionOrder(group.group, next.candidate, holder, token))
@@ -127,7 +161,7 @@
         failures = health.failures,
         refusing = health.refusing,
         received = listOfNotNull(health.report?.received, health.point).maxOrNull(),
-        reportedAt = health.reportedAt,
+        report = health.receivedReport,
     )
 
     private companion object {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -66,6 +66,10 @@
     private var observedSince: Duration? = null
     private var maintainedAt = -Duration.INFINITE
 
+    /** The highest point that any replica was seen to have received; null if none was seen. */
+    var replicated: HistoryPoint? = null
+        private set
+
     val belief = PrimaryTracker()
     val proofs = FreshnessProofs()
 
@@ -265,12 +269,12 @@
         val point = reply.point
         if (command.isOfCaller) recordUse()
         reply.report?.let { report ->
-            pool.health.recordReport(report, environment.now())
+            pool.health.recordReport(report, sentAt, environment.now())
             pool.updateConnectionCount(report.connections)
             if (!report.primary) disprove(pool, sentAt)
-            confirmer.observe(name, report.received)
+            recordPosition(pool, report.received, isReplica = !report.primary)
         }
-        point?.let { confirmer.observe(name, it) }
+        point?.let { recordPosition(pool, it, isReplica = !provesLead(command, reply)) }
         if (reply.rejection == RejectionCode.READ_ONLY) {
             disprove(pool, sentAt)
             return
@@ -278,6 +282,8 @@
         if (!reply.isCompleted || point == null || !provesLead(command, reply)) return
         if (belief.prove(name, sentAt)) {
             proofs.recordPrimaryChange(point, sentAt)
+            // What replicas had received beyond the new primary's log was rolled back.
+            replicated = replicated?.let { minOf(it, point) }
             confirmer.recordPrimaryChange(name)
             logBelief(Event.PRIMARY_PROVED, pool, sentAt)
         } else if (belief.primary == name) {
@@ -285,6 +291,11 @@
         }
     }
 
+    private fun recordPosition(pool: MemberPool, point: HistoryPoint, isReplica: Boolean) {
+        confirmer.observe(pool.member.name, point)
+        if (isReplica && !leads(pool)) replicated = maxOf(point, replicated ?: point)
+    }
+
     private fun disprove(pool: MemberPool, sentAt: Duration) {
         if (!belief.disprove(pool.member.name, sentAt)) return
         logBelief(Event.PRIMARY_DISPROVED, pool, sentAt)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberHealth.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberHealth.kt
@@ -1,5 +1,6 @@
 package dev.kumquatknot.proxy.pool
 
+import dev.kumquatknot.core.databasegroup.ReceivedReport
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.interactive.ReplicationReport
 import kotlin.time.Duration
@@ -21,6 +22,10 @@
         private set
     var report: ReplicationReport? = null
         private set
+
+    /** What the last report says of the member's log, for failover decisions. */
+    var receivedReport: ReceivedReport? = null
+        private set
     var reportedAt: Duration? = null
         private set
 
@@ -55,8 +60,9 @@
         pointAt = now
     }
 
-    fun recordReport(next: ReplicationReport, now: Duration) {
+    fun recordReport(next: ReplicationReport, requestedAt: Duration, now: Duration) {
         report = next
+        receivedReport = ReceivedReport(next.received, requestedAt, now)
         reportedAt = now
     }
 
