Tell a primary whose commits wait from a lost one

Cause: the waiting commits kept the primary's slots in use, so that it served no connection and counted as silent.

Change: while fewer replicas than the configured number are seen to have received what the primary has, and its address accepts connections, it counts as lost only after 10 s. A connection that the address accepts is told to the pool before the member serves it.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
@@ -13,6 +13,7 @@
  * @property failingSince time since which every request to it has failed; null where the last one was answered.
  * @property failures consecutive failed requests, each on a connection of its own.
  * @property refusing whether its address refuses connections, as after a crash of the process.
+ * @property acceptedAt time at which its address last accepted a connection, whether or not the member served it.
  * @property received end of the log that it is known to have received; it may have received more.
  * @property report its last report; null where there is none.
  */
@@ -25,6 +26,7 @@
     val refusing: Boolean,
     val received: HistoryPoint?,
     val report: ReceivedReport?,
+    val acceptedAt: Duration? = null,
 )
 
 /** Report of a member, asked for at [requestedAt] and answered at [answeredAt], that its log ended at [received]. */
@@ -90,7 +92,8 @@
         if (orderedCandidate == primary && proved) orderedCandidate = null
         if (orderedCandidate != null && now - lastOrderAt < timing.orderTimeout) return null
         val current = members.firstOrNull { it.name == primary }
-        val reason = reasonFor(current, proved, now) ?: stallReason(replicationStalledSince, now)
+        val waits = current != null && candidates.mayWait(current, members - current, now, replication)
+        val reason = reasonFor(current, proved, waits, now) ?: stallReason(replicationStalledSince, now)
         val since = if (reason == null) null else reasonSince ?: now
         reasonSince = since
         if (reason == null || since == null) return null
@@ -114,6 +117,7 @@
     private fun reasonFor(
         primary: ObservedMember?,
         proved: Boolean,
+        waits: Boolean,
         now: Duration,
     ): FailoverReason? {
         if (primary == null) {
@@ -121,15 +125,16 @@
             return FailoverReason.NO_PRIMARY.takeIf { now - since > timing.noPrimaryTimeout }
         }
         if (proved) noPrimarySince = null
-        return if (primary.leaving) FailoverReason.PRIMARY_LEAVING else failureReason(primary, now)
+        return if (primary.leaving) FailoverReason.PRIMARY_LEAVING else failureReason(primary, waits, now)
     }
 
-    private fun failureReason(primary: ObservedMember, now: Duration): FailoverReason? {
+    private fun failureReason(primary: ObservedMember, waits: Boolean, now: Duration): FailoverReason? {
         val failingFor = primary.failingSince?.let { now - it } ?: return null
+        val silenceTimeout = if (waits) timing.waitingTimeout else timing.silenceTimeout
         return when {
             primary.failures < MINIMUM_FAILURES -> null
             primary.refusing && failingFor > timing.refusalTimeout -> FailoverReason.PRIMARY_REFUSING
-            failingFor > timing.silenceTimeout -> FailoverReason.PRIMARY_SILENT
+            failingFor > silenceTimeout -> FailoverReason.PRIMARY_SILENT
             else -> null
         }
     }
@@ -144,6 +149,8 @@
  * Timeouts of a [FailoverDecision].
  *
  * @property silenceTimeout time without any answer from a primary after which it counts as lost.
+ * @property waitingTimeout the same for a primary that still accepts connections and whose commits wait for replicas.
+ * @property acceptanceAge age up to which an accepted connection shows that the primary is there.
  * @property refusalTimeout time for which a primary's address refuses connections before it counts as crashed.
  * @property noPrimaryTimeout time without a known primary after which a replica is promoted.
  * @property maximumReportAge age up to which a replica's report is used; older ones may lack commits that another
@@ -156,6 +163,8 @@
  */
 public data class FailoverTiming(
     val silenceTimeout: Duration = 1_200.milliseconds,
+    val waitingTimeout: Duration = 10_000.milliseconds,
+    val acceptanceAge: Duration = 2_000.milliseconds,
     val refusalTimeout: Duration = 400.milliseconds,
     val noPrimaryTimeout: Duration = 2_000.milliseconds,
     val maximumReportAge: Duration = 300.milliseconds,
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionCandidates.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionCandidates.kt
@@ -48,6 +48,24 @@
         }
     }
 
+    /**
+     * Whether [primary] may be silent only because its commits wait for [replicas]: they keep its slots in use, so that
+     * it serves no connection, but its address still accepts some.
+     */
+    public fun mayWait(
+        primary: ObservedMember,
+        replicas: List<ObservedMember>,
+        now: Duration,
+        replication: ObservedReplication,
+    ): Boolean {
+        val following = replicas.count { it.failingSince == null && it.hasReceivedAllOf(primary) }
+        val isThere = primary.acceptedAt?.let { now - it <= timing.acceptanceAge } ?: false
+        return isThere && following < replication.synchronousReplicas
+    }
+
+    private fun ObservedMember.hasReceivedAllOf(primary: ObservedMember): Boolean =
+        primary.received == null || received?.covers(primary.received) ?: false
+
     private fun chooseLongest(
         replicas: List<ObservedMember>,
         reason: FailoverReason,
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionCandidatesSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionCandidatesSpec.kt
@@ -135,4 +135,27 @@
             expectThat(order).isNotNull().get { candidate }.isEqualTo(MemberName("other"))
         }
     }
+
+    @Nested
+    inner class `a silent primary that accepts connections` {
+        private val silent = lost.copy(refusing = false, acceptedAt = now - 1.seconds)
+
+        @Test
+        fun `is not replaced while its commits wait for a replica`() {
+            val former = member("former", received = 80).failing()
+            expectThat(decide(silent, member("deaf", received = 10), former)).isNull()
+            expectThat(decision.unmetReason).isNull()
+        }
+
+        @Test
+        fun `is replaced if a replica follows it, so that no commit has to wait`() {
+            val order = decide(silent, member("b", received = 90), member("c", received = 10))
+            expectThat(order).isNotNull().get { candidate }.isEqualTo(MemberName("b"))
+        }
+
+        @Test
+        fun `is replaced without synchronous replicas, as its commits never wait`() {
+            expectThat(decide(silent, member("b", received = 10), member("c", received = 10), replicas = 0)).isNotNull()
+        }
+    }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
@@ -162,6 +162,7 @@
         refusing = health.refusing,
         received = listOfNotNull(health.report?.received, health.point).maxOrNull(),
         report = health.receivedReport,
+        acceptedAt = health.acceptedAt,
     )
 
     private companion object {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberHealth.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberHealth.kt
@@ -29,6 +29,10 @@
     var reportedAt: Duration? = null
         private set
 
+    /** Time at which the member's address last accepted a connection, whether or not the member served it. */
+    var acceptedAt: Duration? = null
+        private set
+
     /** Whether the member should get reads. */
     val isUsable: Boolean get() = failures < UNUSABLE_AFTER_FAILURES
 
@@ -60,6 +64,10 @@
         pointAt = now
     }
 
+    fun recordAccepted(now: Duration) {
+        acceptedAt = now
+    }
+
     fun recordReport(next: ReplicationReport, requestedAt: Duration, now: Duration) {
         report = next
         receivedReport = ReceivedReport(next.received, requestedAt, now)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberLink.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberLink.kt
@@ -25,7 +25,10 @@
 
 /** Callbacks of a [MemberLink], called on the node's event loop. */
 public interface MemberLinkEvents {
-    /** The member accepted the connection; its log ends at [point]. */
+    /** The member's address accepted the connection, which the member may serve later or never. */
+    public fun accepted(): Unit = Unit
+
+    /** The member serves the connection; its log ends at [point]. */
     public fun opened(point: HistoryPoint?)
 
     /** The member answered the oldest pending command. */
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberPool.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberPool.kt
@@ -165,6 +165,8 @@
         kept.all.filter { !it.isBusy }.forEach { it.close() }
     }
 
+    override fun linkAccepted() = health.recordAccepted(environment.now())
+
     override fun linkOpened(link: PooledLink) {
         opener.recordOpened(link)
         health.recordAnswer(environment.now())
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/PooledLink.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/PooledLink.kt
@@ -19,6 +19,8 @@
 
 /** Callbacks from a [PooledLink] to the pool that owns it. */
 internal interface LinkListener {
+    fun linkAccepted(): Unit = Unit
+
     fun linkOpened(link: PooledLink)
 
     fun linkReplied(link: PooledLink, command: MemberCommand, sentAt: Duration, reply: MemberReply)
@@ -78,6 +80,10 @@
         link?.close()
     }
 
+    override fun accepted() {
+        if (!isClosed) owner.linkAccepted()
+    }
+
     override fun opened(point: HistoryPoint?) {
         openTimer?.invoke()
         openingTime = environment.now() - startedAt
