Accept a primary's acknowledgement that waited for a replica

Callers saw: with syncReplicas 1 and one replica that receives nothing, writes were rejected 1 s after a release ("no replica has received its primary's commits"), although the primary acknowledged them: the leaving former primary had received them and counts.

Cause: the proxy waited for the confirmation of commits that the primary had already held back for a replica, and polled only members that stay.

Change: with synchronous replicas CommitConfirmer waits for nothing, so that no such commit counts as stalled either. Groups without them are as before.

Evidence: SynchronousReplicationSpec, "does not keep commits from being acknowledged that a leaving member has received", failed before (at most 5 writes acknowledged in 4 s) and passes.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
@@ -18,11 +18,13 @@
  * Holds back the acknowledgement of commits until a replica of the group has received them, so that the promotion of
  * the replica with the longest log keeps them. Replicas are polled only while a commit is unconfirmed.
  *
+ * @param isSynchronous whether the primary itself acknowledges a commit only once a replica has received it.
  * @param replicas the members that may take over from the primary, nearest first.
  */
 internal class CommitConfirmer(
     private val group: DatabaseName,
     private val environment: NodeEnvironment,
+    private val isSynchronous: () -> Boolean,
     private val replicas: () -> List<MemberPool>,
 ) {
     private val tracker = ConfirmationTracker(MAJORITY, environment.clock)
@@ -37,12 +39,13 @@
 
     /**
      * Waits until a replica has received the commit of [primary] at [point] and calls [done] once, at [deadline] at
-     * the latest. A group without replicas has none that a promotion could choose, so nothing is waited for.
+     * the latest. Nothing is waited for if the primary has waited, or if the group has no replica that a promotion could
+     * choose.
      */
     fun await(point: HistoryPoint, primary: MemberName, deadline: Duration, done: (Confirmation) -> Unit) {
         val decided = tracker.confirmation(point, primary)
         if (decided != null) return done(decided)
-        if (replicas().isEmpty()) return done(Confirmation.CONFIRMED)
+        if (isSynchronous() || replicas().isEmpty()) return done(Confirmation.CONFIRMED)
         val now = environment.now()
         val commit = WaitingCommit(UnconfirmedCommit(point, primary, now), done)
         waiting += commit
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
@@ -4,7 +4,6 @@
 import dev.kumquatknot.core.databasegroup.FailoverOrder
 import dev.kumquatknot.core.databasegroup.FailoverReason
 import dev.kumquatknot.core.databasegroup.ObservedMember
-import dev.kumquatknot.core.databasegroup.ObservedReplication
 import dev.kumquatknot.core.identity.DatabaseName
 import dev.kumquatknot.core.platform.OrderPromotion
 import dev.kumquatknot.core.platform.PromotionAnswer
@@ -68,10 +67,8 @@
         val decision = decisions.getOrPut(group.group) { FailoverDecision() }
         val facts = group.all.map { it.toFacts() }
         val stalledSince = group.confirmer.stalledSince
-        val replication =
-            ObservedReplication(node.configuration.synchronousReplicas[group.group] ?: 0, group.replicated)
-        val next =
-            decision.decide(facts, group.belief.primary, group.belief.isProved, now, stalledSince, replication)
+        val belief = group.belief
+        val next = decision.decide(facts, belief.primary, belief.isProved, now, stalledSince, group.replication)
         logWait(group, decision.unmetReason, facts, now)
         if (next == null) return
         decision.recordOrder(next.candidate, now)
@@ -102,7 +99,7 @@
             "group" to group.group.value,
             "reason" to reason.name,
             "previous" to group.belief.primary?.value,
-            "replicated" to group.replicated?.toString(),
+            "replicated" to group.replication.replicated?.toString(),
             "members" to describe(members, now),
         )
     }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -4,6 +4,7 @@
 import dev.kumquatknot.core.balancing.MemberLoad
 import dev.kumquatknot.core.customer.CustomerDirectory
 import dev.kumquatknot.core.databasegroup.FreshnessProofs
+import dev.kumquatknot.core.databasegroup.ObservedReplication
 import dev.kumquatknot.core.databasegroup.PrimaryTracker
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.identity.DatabaseName
@@ -45,6 +46,7 @@
  * @param choice chooses the member of reads that are placed by load.
  * @param isBalanced whether reads are placed by estimates of the members' load.
  * @param role this VM's part in the use of a member.
+ * @param synchronousReplicas number of replicas that must have received a commit before the primary acknowledges it.
  */
 internal class GroupPools(
     val group: DatabaseName,
@@ -55,6 +57,7 @@
     choice: MemberChoice = MemberChoice(),
     private val isBalanced: () -> Boolean = { false },
     private val role: (DiscoveredMember) -> PoolRole = { PoolRole.SHARED },
+    private val synchronousReplicas: () -> Int = { 0 },
 ) {
     private val pools = LinkedHashMap<MemberName, MemberPool>()
     private val placement = ReadPlacement()
@@ -66,15 +69,16 @@
     private var observedSince: Duration? = null
     private var maintainedAt = -Duration.INFINITE
 
-    /** The highest point that any replica was seen to have received; null if none was seen. */
-    var replicated: HistoryPoint? = null
-        private set
+    private var replicated: HistoryPoint? = null
+
+    /** How commits of the group are acknowledged, as far as this VM knows. */
+    val replication: ObservedReplication get() = ObservedReplication(synchronousReplicas(), replicated)
 
     val belief = PrimaryTracker()
     val proofs = FreshnessProofs()
 
     /** Waits for the replication of commits. */
-    val confirmer = CommitConfirmer(group, environment, ::successors)
+    val confirmer = CommitConfirmer(group, environment, { synchronousReplicas() > 0 }, ::successors)
 
     /** All pools, including those of leaving members. */
     val all: Collection<MemberPool> get() = pools.values
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/InteractiveNode.kt
@@ -355,6 +355,7 @@
         choice = MemberChoice(ports.random),
         isBalanced = { isBalanced(connectionBudget(name)) },
         role = ::poolRole,
+        synchronousReplicas = { configuration.synchronousReplicas[name] ?: 0 },
     )
 
     private fun openLink(member: DiscoveredMember, customer: CustomerName?, events: MemberLinkEvents): MemberLink {
