Do not promote a replica that has stopped receiving during a release

Callers would see: with syncReplicas 1, a replica that stops receiving between its report and the order is promoted in place of a leaving primary, which goes on acknowledging what the other replica receives (LOST).

Cause: enough members had reported no more than the candidate had, but the primary, which still serves, had reported more since.

Change: a primary that answers is only replaced by a member that has received what it last reported.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionCandidates.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionCandidates.kt
@@ -42,7 +42,7 @@
     ): ObservedMember? {
         val replicas = members.filter { it.name != primary }
         return if (replication.synchronousReplicas > 0) {
-            chooseComplete(members, replicas, reasonSince, replication)
+            chooseComplete(members, replicas, members.firstOrNull { it.name == primary }, reasonSince, replication)
         } else {
             chooseLongest(replicas.filter { !it.leaving }, reason, now - reasonSince, now)
         }
@@ -84,6 +84,7 @@
     private fun chooseComplete(
         members: List<ObservedMember>,
         replicas: List<ObservedMember>,
+        primary: ObservedMember?,
         reasonSince: Duration,
         replication: ObservedReplication,
     ): ObservedMember? {
@@ -92,12 +93,19 @@
             .filter { candidate ->
                 val covered = members.count { it === candidate || isCovered(it, candidate, reasonSince) }
                 val isBehind = replication.replicated?.let { candidate.received?.covers(it) == false } ?: false
+                val follows = primary == null || primary.failingSince != null || candidate.follows(primary, reasonSince)
                 // Where nobody else is left that might hold more, waiting would not bring anything back.
-                covered == members.size || covered >= needed && !isBehind
+                covered == members.size || covered >= needed && !isBehind && follows
             }
             .maxWithOrNull(compareBy<ObservedMember> { !it.leaving }.then(byReceived).thenBy { it.name })
     }
 
+    /** Whether this replica still receives what [primary] commits, which goes on until the promotion takes effect. */
+    private fun ObservedMember.follows(primary: ObservedMember, reasonSince: Duration): Boolean {
+        val report = primary.report?.takeIf { it.requestedAt >= reasonSince }
+        return if (report == null) hasReceivedAllOf(primary) else received?.covers(report.received) ?: false
+    }
+
     /** Whether [member] has reported since the primary was lost that it has received no more than [candidate]. */
     private fun isCovered(member: ObservedMember, candidate: ObservedMember, reasonSince: Duration): Boolean {
         val report = member.report?.takeIf { it.requestedAt >= reasonSince } ?: return false
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionCandidatesSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionCandidatesSpec.kt
@@ -116,9 +116,11 @@
         }
 
         @Test
-        fun `replaces a leaving primary once it has received what others may have`() {
+        fun `replaces a leaving primary once it has received what that one reported`() {
             val leaving = member("primary", received = 90, leaving = true)
-            val order = decide(leaving, member("deaf", received = 10), busy("other", received = 89))
+            val deaf = member("deaf", received = 10)
+            expectThat(decide(leaving, deaf, busy("other", received = 89))).isNull()
+            val order = decide(leaving, deaf, busy("other", received = 90))
             expectThat(order).isNotNull().get { candidate }.isEqualTo(MemberName("other"))
         }
     }
