--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
@@ -39,8 +39,8 @@
 
     /**
      * Waits until a replica has received the commit of [primary] at [point] and calls [done] once, at [deadline] at
-     * the latest. Nothing is waited for if the primary has waited, or if the group has no replica that a promotion could
-     * choose.
+     * the latest. Nothing is waited for if the primary has waited, or if the group has no replica that a promotion
+     * could choose.
      */
     fun await(point: HistoryPoint, primary: MemberName, deadline: Duration, done: (Confirmation) -> Unit) {
         val decided = tracker.confirmation(point, primary)
