Review: show that a planned promotion loses acknowledged commits of a synchronous group

The member to promote is chosen by what replicas had received when they reported. Until the order takes effect a second later, the primary goes on to acknowledge commits that only the nearer replica has.

--- a/review/standin-3/PromotionCase.java
+++ b/review/standin-3/PromotionCase.java
@@ -13,7 +13,7 @@
  * each acknowledged commit is in the log of the member that is promoted.
  */
 final class PromotionCase {
-    private static final int GROUPS = 6;
+    private static final int GROUPS = 8;
     private static final int SESSIONS = 12;
     private static final int ROUNDS = 7;
     private static final long ROUND_MILLIS = 13_000;
@@ -88,7 +88,7 @@
             long next = record.millis() + ROUND_MILLIS;
             for (Group group : groups) {
                 if (trouble) Threads.start("release", () -> release(group));
-                Threads.sleep(400);
+                Threads.sleep(300);
             }
             Threads.sleep(next - record.millis());
         }
@@ -139,14 +139,19 @@
         }
         leaving.stop();
         group.remove(leaving);
-        try {
-            Member next = newMember(group, leaving.zone, leaving.port());
-            group.add(next, false);
-            next.register();
-            record.line("member %s of %s starts with the log of %s", next.id, group.service, leaving.id);
-        } catch (IOException failure) {
-            record.line("no new member: %s", failure);
+        for (int tries = 0; tries < 40; tries++) {
+            try {
+                Member next = newMember(group, leaving.zone, leaving.port());
+                group.add(next, false);
+                next.register();
+                record.line("member %s of %s starts with the log of %s", next.id, group.service, leaving.id);
+                return;
+            } catch (IOException inUse) {
+                // The address is free once all connections of the former member are closed.
+                Threads.sleep(50);
+            }
         }
+        record.line("no new member of %s", group.service);
     }
 
     private void write(String name, int port, String database) {
