Review: show that a stopped holder sends orders with its old token

Orders to promote wait in one queue with the token of the moment at which they were decided, and a call without an answer keeps those behind it waiting. A machine that is stopped releases its lease and goes on sending them.

--- a/review/standin-3/Nodes.java
+++ b/review/standin-3/Nodes.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /** The project's processes, started with the command of the deploy file. */
 final class Nodes {
@@ -46,11 +47,11 @@
         List<String> lines = new ArrayList<>(List.of(
             "nodeName=" + name, "role=entry", "machineClass=front", "serves=front", "ip=127.0.0.1", "zone=" + zone,
             "bindAddrs.front=127.0.0.1:" + front, "bindAddrs.ready=127.0.0.1:" + ready,
-            "internalPorts=" + freePort() + "," + freePort(), "bootstrap=true", "limits.cpuShare=1.0",
+            "internalPorts=" + freePort() + "," + freePort(), "limits.cpuShare=1.0",
             "limits.cores=1", "limits.memoryMb=430", "limits.maxFds=4200", "discovery=platform", "entry=vip",
             "heartbeatMs=1200", "platform.address=" + store, "platform.form=objects", "platform.writesPerS=400",
             "platform.readsPerS=2000", "platform.historyS=20", "cloud.address=" + cloud, "cloud.duties=failover",
-            "bounds.fencingRequired=true"));
+            "bootstrap=true"));
         for (String each : zones) lines.add("zones." + each);
         lines.addAll(bounds);
         Path settings = folder.resolve(name + ".conf");
@@ -68,6 +69,20 @@
         node.process = builder.start();
     }
 
+    /** Stops [node] as the platform does: SIGTERM, SIGKILL after [graceMillis], and another start after a short delay. */
+    void restart(Node node, long graceMillis) {
+        Process stopped = node.process;
+        stopped.destroy();
+        try {
+            if (!stopped.waitFor(graceMillis, TimeUnit.MILLISECONDS)) stopped.destroyForcibly();
+            stopped.waitFor();
+            Threads.sleep(500);
+            start(node);
+        } catch (InterruptedException | IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
     /** Waits until all nodes count as ready; returns false if they don't within [seconds]. */
     boolean awaitReady(int seconds) {
         for (int tries = 0; tries < seconds * 10; tries++) {
--- a/review/standin-3/PromotionCase.java
+++ b/review/standin-3/PromotionCase.java
@@ -13,7 +13,7 @@
  * each acknowledged commit is in the log of the member that is promoted.
  */
 final class PromotionCase {
-    private static final int GROUPS = 8;
+    private static final int GROUPS = 12;
     private static final int SESSIONS = 12;
     private static final int ROUNDS = 7;
     private static final long ROUND_MILLIS = 13_000;
@@ -43,7 +43,7 @@
     private PromotionCase(boolean trouble, Path folder, Record record) throws IOException {
         this.trouble = trouble;
         this.record = record;
-        cloud = new Cloud(groups, 1_000, record);
+        cloud = new Cloud(groups, 1_000, true, record);
         nodes = new Nodes(folder);
     }
 
@@ -69,7 +69,8 @@
         Threads.start("heartbeats", this::beat);
         for (String zone : ZONES) {
             nodes.add("front-" + zone, zone, REGIONS, store.address(), cloud.address(), List.of(
-                "bounds.stableWindowMs=6000", "bounds.drainMs=10000", "bounds.graceS=6", "bounds.configApplyMs=6000"));
+                "bounds.stableWindowMs=6000", "bounds.drainMs=10000", "bounds.graceS=6", "bounds.configApplyMs=6000",
+                "bounds.fencingRequired=true"));
         }
         for (Nodes.Node node : nodes.all) nodes.start(node);
         if (!nodes.awaitReady(15)) {
