Fence a promotion until it takes effect

Cause: the member to promote was chosen by reports, and a promotion takes effect a second after its order. Until then a primary that is alive acknowledges commits with the help of the other replica alone. The same goes for a primary that only the deciding VM cannot reach, or that comes back from a crash, and for a candidate that stops receiving.

Change: GroupFailover erects a PromotionFence between the choice and the order: all replicas but the candidate are paused, so that no commit is acknowledged that the candidate lacks while writes go on; where that cannot be shown, the primary steps down. Only reports after a command's answer count. VMs have commits of a leaving primary confirmed by each replica that is not paused, for members that carry out neither. Each fence has a way back; an order that may still be carried out is invalidated by another one before replicas are resumed. The specs on releases promised it only if replicas receive to the end; PromotionSafetySpec now plays to the effect of the order, with delays and late orders.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/ConfirmationTracker.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/ConfirmationTracker.kt
@@ -58,6 +58,10 @@
     public fun confirmation(point: HistoryPoint, primary: MemberName): Confirmation? =
         lock.withLock { decide(point, primary) }
 
+    /** Whether [member] is known to hold [point]. */
+    public fun isHeldBy(member: MemberName, point: HistoryPoint): Boolean =
+        lock.withLock { (confirmed[member]?.get(point.term) ?: NO_POSITION) >= point.position }
+
     /** Waits until the write that [primary] committed at [point] is decided, or until [deadline] of the clock. */
     public fun await(point: HistoryPoint, primary: MemberName, deadline: Duration): Confirmation {
         confirmation(point, primary)?.let { return it }
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
@@ -1,6 +1,7 @@
 package dev.kumquatknot.core.databasegroup
 
 import dev.kumquatknot.core.history.HistoryPoint
+import dev.kumquatknot.core.history.Term
 import dev.kumquatknot.core.identity.MemberName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,8 +30,24 @@
     val acceptedAt: Duration? = null,
 )
 
-/** Report of a member, asked for at [requestedAt] and answered at [answeredAt], that its log ended at [received]. */
-public data class ReceivedReport(val received: HistoryPoint, val requestedAt: Duration, val answeredAt: Duration)
+/**
+ * Report of a member, asked for at [requestedAt] and answered at [answeredAt], that its log ended at [received].
+ *
+ * @property leads whether the member saw itself as the primary.
+ * @property term the member's term.
+ * @property held term in which the member was told to stop receiving commits; 0 if it never was, or was told to resume.
+ */
+public data class ReceivedReport(
+    val received: HistoryPoint,
+    val requestedAt: Duration,
+    val answeredAt: Duration,
+    val leads: Boolean = false,
+    val term: Term = received.term,
+    val held: Term = Term(0),
+) {
+    /** Whether the member was told to stop receiving commits and has received none of a later term since. */
+    val isPaused: Boolean get() = held > minOf(term, received.term)
+}
 
 /** Why a promotion is ordered. */
 public enum class FailoverReason {
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberCommand.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberCommand.kt
@@ -43,8 +43,20 @@
     /** Clears all session variables and prepared plans of this connection. */
     public data object Reset : MemberCommand
 
-    /** Requests the member's [ReplicationReport]. */
-    public data object Report : MemberCommand
+    /** A command that the member answers with its [ReplicationReport]. */
+    public sealed interface Reporting : MemberCommand
+
+    /** Requests the member's report. */
+    public data object Report : Reporting
+
+    /** Stops a replica from receiving commits; [term] must be above every term of the group. */
+    public data class Pause(val term: Term) : Reporting
+
+    /** Makes a paused replica receive commits again. */
+    public data object Resume : Reporting
+
+    /** Makes a primary whose term is below [term] a replica. */
+    public data class StepDown(val term: Term) : Reporting
 }
 
 /** Transaction state of a session after a statement. */
@@ -114,13 +126,13 @@
  * Replication state that a member reports about itself.
  *
  * @property received end of the received log, which may not be applied yet.
- * @property accepted highest accepted term.
+ * @property held term in which the member was told to stop receiving commits; 0 if it was not.
  * @property connections number of open connections from all callers together.
  */
 public data class ReplicationReport(
     val primary: Boolean,
     val term: Term,
     val received: HistoryPoint,
-    val accepted: Term,
+    val held: Term,
     val connections: Int,
 )
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionSafetySpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionSafetySpec.kt
@@ -12,129 +12,281 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Plays failovers of a group with one synchronous replica; each run follows from its seed. */
 class PromotionSafetySpec {
     private val runs = System.getProperty("promotion.runs")?.toInt() ?: 10_000
     private val firstSeed = System.getProperty("promotion.seed")?.toInt() ?: 1
 
-    private fun play(primaryLeaves: Boolean): List<PlayedFailover> =
-        (firstSeed until firstSeed + runs).map { FailoverPlay(it, primaryLeaves).play() }
+    private fun play(loss: Loss, ignoresFences: Boolean = false): List<PlayedFailover> =
+        (firstSeed until firstSeed + runs).map { FailoverPlay(it, loss, ignoresFences).play() }
 
+    /** The primary once acknowledged commits until the promotion took effect that the promoted member lacked. */
     @Nested
     inner class `every acknowledged commit is in the log of the promoted member` {
-        @Test
-        fun `after a crash of the primary`() {
-            val played = play(primaryLeaves = false)
+        private fun expectNoLoss(played: List<PlayedFailover>) {
             expectThat(played.mapNotNull { it.violation }).isEmpty()
             expectThat(played.count { it.isPromoted }).isGreaterThan(runs / 2)
         }
 
         @Test
-        fun `after a release of the primary, if the replicas receive it to the end`() {
-            val played = play(primaryLeaves = true)
-            expectThat(played.mapNotNull { it.violation }).isEmpty()
-            expectThat(played.count { it.isPromoted }).isGreaterThan(runs / 2)
+        fun `after a crash of the primary`() = expectNoLoss(play(Loss.CRASH))
+
+        @Test
+        fun `after a crash of the primary, which comes back before that`() = expectNoLoss(play(Loss.RESTART))
+
+        @Test
+        fun `while the primary cannot be reached by the VM that decides`() = expectNoLoss(play(Loss.CUT))
+
+        @Test
+        fun `while the primary leaves`() = expectNoLoss(play(Loss.LEAVE))
+
+        @Test
+        fun `while the primary leaves and members carry out no command of a fence`() =
+            expectNoLoss(play(Loss.LEAVE, ignoresFences = true))
+    }
+
+    @Nested
+    inner class `after the failover` {
+        @Test
+        fun `no replica stays paused that can be reached`() = Loss.entries.forEach { loss ->
+            expectThat(play(loss).filter { it.isPaused }.map { "$loss: seed ${it.seed}" }).isEmpty()
         }
     }
 }
 
+/** How the group loses its primary. */
+private enum class Loss { CRASH, RESTART, CUT, LEAVE }
+
 /** Outcome of one [FailoverPlay]. */
-private class PlayedFailover(val isPromoted: Boolean, val violation: String?)
+private class PlayedFailover(val seed: Int, val isPromoted: Boolean, val isPaused: Boolean, val violation: String?)
 
 /**
- * One failover. Replicas receive commits or not, report or only answer, and cannot be reached, for spans that follow
- * from the [seed]; the primary acknowledges a commit once one of them has received it.
+ * One failover. Replicas receive commits with delays of their own or not at all, report or only answer, and cannot be
+ * reached, for spans that follow from the [seed]; the primary acknowledges a commit once one of them has received it.
+ * Orders take effect late, and some are not answered.
+ *
+ * @param ignoresFences whether members answer commands of fences without carrying them out. Callers are then told of a
+ * commit of a leaving primary only once all replicas that are not paused have received it.
  */
-private class FailoverPlay(private val seed: Int, private val primaryLeaves: Boolean) {
+private class FailoverPlay(private val seed: Int, private val loss: Loss, private val ignoresFences: Boolean) {
     private val random = Random(seed)
-    private val decision = FailoverDecision()
-    private val replicas = listOf("b", "c").map { Replica(MemberName(it)) }
+    private val failover = GroupFailover()
+    private val replicas = listOf("b", "c").map { Replica(MemberName(it), random.nextInt(3)) }
     private val lossAt = STEP * random.nextInt(20, 60)
-    private var now = 1_000.milliseconds
-    private var committed = 0L
-    private var acknowledged = 0L
+    private val returnsAt = lossAt + STEP * random.nextInt(5, 60)
+    private val writes = random.nextDouble(0.05, 1.0)
+    private var now = START
+    private var term = 1L
+    private var leader = PRIMARY
+    private var isSteppedDown = false
+    private var primaryHeld = 0L
+
+    /** Step in which each commit was made. */
+    private val log = ArrayList<Int>()
+    private var step = 0
+    private var acknowledged = 0
     private var replicated: HistoryPoint? = null
     private var primaryAnsweredAt = now
     private var primaryReport: ReceivedReport? = null
+    private var pending: PendingOrder? = null
+    private var violation: String? = null
 
-    private val isLost get() = now >= 1_000.milliseconds + lossAt
+    private val isLost get() = now >= START + lossAt
+    private val hasReturned get() = now >= START + returnsAt
+
+    private val isPrimaryRunning
+        get() = when (loss) {
+            Loss.CRASH -> !isLost
+            Loss.RESTART -> !isLost || hasReturned
+            Loss.CUT, Loss.LEAVE -> true
+        }
+
+    private val isPrimaryReachable get() = isPrimaryRunning && !(loss == Loss.CUT && isLost && !hasReturned)
 
     fun play(): PlayedFailover {
         repeat(STEPS) {
+            step++
             now += STEP
-            if (!isLost || primaryLeaves) commit()
+            if (isPrimaryRunning && !isSteppedDown && leader == PRIMARY) commit()
             replicas.forEach { it.step() }
+            if (isPrimaryReachable) report()
+            acknowledge()
             replicated = replicas.mapNotNull { it.known }.maxOrNull()
-            val order = decide() ?: return@repeat
-            val promoted = replicas.first { it.name == order.candidate }
-            repeat(PROMOTION_STEPS) { if (primaryLeaves) commit() }
-            val lost = acknowledged - promoted.received
-            return PlayedFailover(true, "seed $seed: $order lacks $lost commits".takeIf { lost > 0 })
+            promote()
+            act()
         }
-        return PlayedFailover(false, null)
+        val isPaused = replicas.any { it.paused != null && it.canBeResumed && it.name != leader }
+        return PlayedFailover(seed, leader != PRIMARY, isPaused && (leader == PRIMARY || isDone), violation)
     }
 
+    /** Whether the promotion took effect long enough before the end to resume replicas. */
+    private val isDone get() = pending == null && leader != PRIMARY
+
     private fun commit() {
-        if (acknowledged < committed && replicas.none { it.receives }) return
-        committed++
-        replicas.filter { it.receives }.forEach { it.received = committed }
-        acknowledged = replicas.maxOf { it.received }
+        if (random.nextDouble() < writes && (acknowledged >= log.size || replicas.any { it.receives })) log += step
+    }
+
+    private fun acknowledge() {
+        if (leader != PRIMARY || !isPrimaryRunning || isSteppedDown) return
+        val isStrict = ignoresFences && loss == Loss.LEAVE && isLost
+        val counted = replicas.filter { !isStrict || it.held <= term }
+        val received = if (isStrict) counted.minOfOrNull { it.received } else counted.maxOfOrNull { it.received }
+        acknowledged = maxOf(acknowledged, minOf(received ?: 0, log.size))
+    }
+
+    private fun report() {
         primaryAnsweredAt = now
-        primaryReport = ReceivedReport(point(committed), now, now)
+        val leads = leader == PRIMARY && !isSteppedDown
+        val end = if (leader == PRIMARY) log.size else log.size.coerceAtMost(replicas.maxOf { it.received })
+        primaryReport = ReceivedReport(point(end), now, now, leads, Term(term), Term(primaryHeld))
+    }
+
+    private fun promote() {
+        val order = pending?.takeIf { now >= it.effectAt } ?: return
+        pending = null
+        if (order.candidate == leader && !isSteppedDown) return
+        val replica = replicas.firstOrNull { it.name == order.candidate }
+        val end = replica?.received ?: log.size
+        if (end < acknowledged && violation == null) {
+            violation = "seed $seed: ${order.candidate} lacks ${acknowledged - end} commits"
+        }
+        while (log.size > end) log.removeLast()
+        replicas.forEach { it.rollBack(end) }
+        replica?.paused = null
+        leader = order.candidate
+        isSteppedDown = false
+        term++
+    }
+
+    private fun act() {
+        when (val next = failover.next(observe(), now)) {
+            null -> Unit
+            is FailoverStep.Promote -> {
+                failover.recordOrder(next.order.candidate, now)
+                // An order that nobody answers may be carried out later than the next one is given.
+                val isLate = random.nextInt(5) == 0
+                pending = PendingOrder(next.order.candidate, now + STEP * if (isLate) random.nextInt(20, 120) else 20)
+            }
+            is FailoverStep.Confirm -> if (random.nextInt(3) > 0) {
+                pending = pending?.takeIf { it.candidate == leader }
+                failover.recordConfirmation()
+            }
+            is FailoverStep.Send -> next.commands.forEach { (member, command) -> carryOut(member, command) }
+        }
+    }
+
+    private fun carryOut(member: MemberName, command: FenceCommand) {
+        val replica = replicas.firstOrNull { it.name == member }
+        val isReached = replica?.takesCommands ?: isPrimaryReachable
+        if (!isReached) return
+        when (command) {
+            is FenceCommand.Pause -> replica?.pause(command.term.value) ?: holdPrimary(command.term.value)
+            is FenceCommand.Resume -> replica?.resume() ?: holdPrimary(0)
+            is FenceCommand.StepDown -> stepDown(command.term.value)
+        }
+        // Some answers get lost.
+        if (random.nextInt(10) > 0) failover.recordAnswer(member, command, now)
     }
 
-    private fun decide(): FailoverOrder? = decision.decide(
-        replicas.map { it.observed() } + observedPrimary(),
-        PRIMARY,
-        proved = true,
-        now,
-        replication = ObservedReplication(1, replicated),
-    )
+    private fun holdPrimary(heldTerm: Long) {
+        primaryHeld = heldTerm
+    }
+
+    private fun stepDown(newTerm: Long) {
+        if (leader == PRIMARY && newTerm > term && !ignoresFences) isSteppedDown = true
+    }
+
+    private fun observe(): ObservedGroup {
+        val isProved = if (leader == PRIMARY) !isSteppedDown else true
+        return ObservedGroup(
+            replicas.map { it.observed() } + observedPrimary(),
+            leader.takeIf { isProved },
+            isProved,
+            ObservedReplication(1, replicated),
+        )
+    }
 
     private fun observedPrimary(): ObservedMember {
-        val failingSince = primaryAnsweredAt.takeIf { isLost && !primaryLeaves }
+        val failingSince = primaryAnsweredAt.takeIf { !isPrimaryReachable }
         return ObservedMember(
             name = PRIMARY,
-            leaving = isLost && primaryLeaves,
+            leaving = isLost && loss == Loss.LEAVE,
             answeredAt = primaryAnsweredAt,
             failingSince = failingSince,
             failures = if (failingSince == null) 0 else 3,
             refusing = failingSince != null,
-            received = point(committed),
+            received = primaryReport?.received ?: point(log.size),
             report = primaryReport,
         )
     }
 
-    private fun point(number: Long) = HistoryPoint(Term(1), LogPosition(number))
+    private fun point(number: Int) = HistoryPoint(Term(1), LogPosition(number.toLong()))
+
+    private class PendingOrder(val candidate: MemberName, val effectAt: Duration)
 
-    private inner class Replica(val name: MemberName) {
-        var received = 0L
+    /** A replica that receives commits [delay] steps after they were made. */
+    private inner class Replica(val name: MemberName, private val delay: Int) {
+        var received = 0
+            private set
+        var held = 0L
+            private set
+        var paused: Int? = null
         var known: HistoryPoint? = null
             private set
+        private var followedTerm = term
         private var report: ReceivedReport? = null
         private var answeredAt: Duration? = null
         private var failingSince: Duration? = null
         private val deaf = Span()
         private val busy = Span()
         private val unreachable = Span()
+        private var resumableSince: Duration? = null
 
-        val receives get() = !deaf.isActive
+        val receives get() = !deaf.isActive && paused == null
+
+        val takesCommands get() = !unreachable.isActive && !busy.isActive
+
+        val canBeResumed get() = resumableSince?.let { now - it > RESUMPTION_TIME } ?: false
+
+        fun pause(pausedTerm: Long) {
+            if (pausedTerm <= term || name == leader) return
+            held = pausedTerm
+            if (!ignoresFences && paused == null) paused = received
+        }
+
+        fun resume() {
+            held = 0
+            paused = null
+        }
+
+        fun rollBack(end: Int) {
+            received = received.coerceAtMost(end)
+            known = known?.let { minOf(it, point(end)) }
+            report = report?.let { it.copy(received = minOf(it.received, point(end))) }
+        }
 
         fun step() {
-            if (receives) received = committed
+            val isCalm = takesCommands && isPrimaryReachable && pending == null
+            resumableSince = if (isCalm) resumableSince ?: now else null
+            if (receives) {
+                received = maxOf(received, log.count { it + delay <= step })
+                followedTerm = term
+            }
             if (unreachable.isActive) {
                 failingSince = failingSince ?: now
                 return
             }
             failingSince = null
             answeredAt = now
-            val applied = (received - random.nextLong(3)).coerceAtLeast(0)
+            val applied = (received - random.nextInt(3)).coerceAtLeast(0)
             known = maxOf(known ?: point(applied), point(applied))
             if (busy.isActive) return
             known = point(received)
             // The answer describes the log some time after the request.
-            report = ReceivedReport(point(received), now - STEP * random.nextInt(2), now)
+            val requestedAt = now - STEP * random.nextInt(2)
+            report = ReceivedReport(point(received), requestedAt, now, name == leader, Term(followedTerm), Term(held))
         }
 
         fun observed() = ObservedMember(
@@ -154,15 +306,16 @@
         private val start = if (random.nextInt(4) == 0) Duration.INFINITE else STEP * random.nextInt(STEPS)
         private val end = start + STEP * random.nextInt(10, 80)
 
-        val isActive get() = now - 1_000.milliseconds in start..<end
+        val isActive get() = now - START in start..<end
     }
 
     private companion object {
+        val START = 1_000.milliseconds
         val STEP = 50.milliseconds
-        const val STEPS = 200
+        const val STEPS = 500
 
-        /** Steps from an order until it takes effect. */
-        const val PROMOTION_STEPS = 20
+        /** Time after which a pause is lifted at the latest once members take commands. */
+        val RESUMPTION_TIME = 10.seconds
         val PRIMARY = MemberName("a")
     }
 }
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
@@ -18,14 +18,18 @@
  * Holds back the acknowledgement of commits until a replica of the group has received them, so that the promotion of
  * the replica with the longest log keeps them. Replicas are polled only while a commit is unconfirmed.
  *
+ * A primary with synchronous replicas waits for them itself, but not for those that may be promoted soon.
+ *
  * @param isSynchronous whether the primary itself acknowledges a commit only once a replica has received it.
  * @param replicas the members that may take over from the primary, nearest first.
+ * @param successors the members of which each must have received a commit of a primary with synchronous replicas.
  */
 internal class CommitConfirmer(
     private val group: DatabaseName,
     private val environment: NodeEnvironment,
     private val isSynchronous: () -> Boolean,
     private val replicas: () -> List<MemberPool>,
+    private val successors: (primary: MemberName, committedAt: Duration) -> RequiredSuccessors,
 ) {
     private val tracker = ConfirmationTracker(MAJORITY, environment.clock)
     private val waiting = ArrayList<WaitingCommit>()
@@ -43,11 +47,12 @@
      * could choose.
      */
     fun await(point: HistoryPoint, primary: MemberName, deadline: Duration, done: (Confirmation) -> Unit) {
-        val decided = tracker.confirmation(point, primary)
-        if (decided != null) return done(decided)
-        if (isSynchronous() || replicas().isEmpty()) return done(Confirmation.CONFIRMED)
         val now = environment.now()
-        val commit = WaitingCommit(UnconfirmedCommit(point, primary, now), done)
+        val unconfirmed = UnconfirmedCommit(point, primary, now)
+        val decided = decisionOf(unconfirmed)
+        if (decided != null) return done(decided)
+        if (!isSynchronous() && replicas().isEmpty()) return done(Confirmation.CONFIRMED)
+        val commit = WaitingCommit(unconfirmed, done)
         waiting += commit
         if (oldest == null) oldest = commit.commit
         commit.timer = environment.schedule(minOf(deadline - now, STALL_TIMEOUT)) {
@@ -80,9 +85,19 @@
         logResumption()
     }
 
-    private fun decisionOf(commit: UnconfirmedCommit) = tracker.confirmation(commit.point, commit.primary)
+    private fun decisionOf(commit: UnconfirmedCommit): Confirmation? {
+        val decided = tracker.confirmation(commit.point, commit.primary)
+        if (!isSynchronous() || decided == Confirmation.SUPERSEDED) return decided
+        return when (val required = successors(commit.primary, commit.since)) {
+            is RequiredSuccessors.Unknown -> null
+            is RequiredSuccessors.All ->
+                Confirmation.CONFIRMED.takeIf { required.members.all { tracker.isHeldBy(it, commit.point) } }
+        }
+    }
 
     private fun poll() {
+        // Discovery may change what is required, without an answer of a replica.
+        if (isSynchronous()) settle()
         val commit = oldest ?: return
         // A connection that is opened for a poll alone costs a slot of the replica and may keep other VMs waiting.
         val candidates = replicas().sortedBy { it.isScarce && !it.isConnected }
@@ -90,7 +105,7 @@
         pollsByPool.keys.retainAll(candidates.toSet())
         val now = environment.now()
         val delay = if (candidates.any { it.isScarce }) SCARCE_REPLICA_DELAY else SECOND_REPLICA_DELAY
-        val polled = if (now - commit.since < delay) candidates.take(1) else candidates
+        val polled = if (now - commit.since < delay && !isSynchronous()) candidates.take(1) else candidates
         polled.forEach { pool ->
             pollsByPool.getOrPut(pool) { ReplicaPolls() }.let { if (!it.isPending) send(pool, it) }
         }
@@ -112,7 +127,8 @@
         environment.metrics.memberPolled(PollPurpose.CONFIRMATION)
         val now = environment.now()
         val unconfirmedFor = oldest?.let { now - it.since } ?: Duration.ZERO
-        val reports = unconfirmedFor > APPLICATION_TIME || now < polls.reportsUntil
+        // Only a report tells whether a replica is paused.
+        val reports = unconfirmedFor > APPLICATION_TIME || now < polls.reportsUntil || isSynchronous()
         pool.acquireLink { link ->
             if (link == null) {
                 polls.isPending = false
@@ -146,6 +162,15 @@
         environment.events.log(Event.REPLICATION_RESUMED, "group" to group.value)
     }
 
+    /** The members that must have received a commit before callers are told of it. */
+    sealed interface RequiredSuccessors {
+        /** Each of [members]. */
+        data class All(val members: Set<MemberName>) : RequiredSuccessors
+
+        /** Nobody knows yet which member leads next. */
+        data object Unknown : RequiredSuccessors
+    }
+
     private class UnconfirmedCommit(val point: HistoryPoint, val primary: MemberName, val since: Duration)
 
     private class WaitingCommit(val commit: UnconfirmedCommit, val done: (Confirmation) -> Unit) {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -23,6 +23,7 @@
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.fleet.LoadReportPayload
+import dev.kumquatknot.proxy.interactive.CommitConfirmer.RequiredSuccessors
 import dev.kumquatknot.proxy.pool.ConnectionBudget
 import dev.kumquatknot.proxy.pool.MemberPool
 import dev.kumquatknot.proxy.pool.PoolRole
@@ -78,7 +79,7 @@
     val proofs = FreshnessProofs()
 
     /** Waits for the replication of commits. */
-    val confirmer = CommitConfirmer(group, environment, { synchronousReplicas() > 0 }, ::successors)
+    val confirmer = CommitConfirmer(group, environment, { synchronousReplicas() > 0 }, ::pollable, ::requiredSuccessors)
 
     /** All pools, including those of leaving members. */
     val all: Collection<MemberPool> get() = pools.values
@@ -228,10 +229,33 @@
     /** Whether replicas were too far behind for a read lately, so that older proofs would let more of them serve. */
     val needsFrequentProofs: Boolean get() = environment.now() - replicasLaggedAt < LAG_PERIOD
 
+    /** The pool of [member]; null if it is not known. */
+    fun poolOf(member: MemberName): MemberPool? = pools[member]
+
     /** The pools of members that may take over; nearest first, those without a known distance or failing last. */
-    private fun successors(): List<MemberPool> = pools.values.filter { !leads(it) && it.leavingSince == null }
+    private fun pollable(): List<MemberPool> = pools.values
+        .filter { !leads(it) && (it.leavingSince == null || synchronousReplicas() > 0) }
         .sortedWith(compareBy({ it.health.failures }, { it.distance == Duration.ZERO }, { it.distance }))
 
+    /**
+     * The members that must have received a commit of [primary] so that no promotion loses it. They are all others that
+     * are not paused once a promotion is to be expected, because the primary leaves or a replica is paused. A paused
+     * replica is not promoted, as this would take another fence, which the commit outlasts.
+     */
+    private fun requiredSuccessors(primary: MemberName, committedAt: Duration): RequiredSuccessors {
+        val leader = belief.primary
+        if (leader != primary) return leader?.let { RequiredSuccessors.All(setOf(it)) } ?: RequiredSuccessors.Unknown
+        val others = pools.values.filter { it.member.name != primary }
+        val paused = others.filter { it.health.isPaused(committedAt) }
+        val mayBeReplaced = pools[primary]?.leavingSince != null || paused.isNotEmpty()
+        val required = (others - paused.toSet()).map { it.member.name }.toSet()
+        return when {
+            !mayBeReplaced || others.isEmpty() -> RequiredSuccessors.All(emptySet())
+            required.isEmpty() -> RequiredSuccessors.Unknown
+            else -> RequiredSuccessors.All(required)
+        }
+    }
+
     private fun newPool(member: DiscoveredMember) = MemberPool(member, environment, connections, ::recordReply) {
         role(pools[member.name]?.member ?: member)
     }
@@ -313,7 +337,7 @@
         is MemberCommand.Begin -> !command.readOnly
         is MemberCommand.Run -> command.access == StatementAccess.WRITE
         is MemberCommand.Execute -> command.access == StatementAccess.WRITE
-        is MemberCommand.Report -> reply.report?.primary ?: false
+        is MemberCommand.Reporting -> reply.report?.primary ?: false
         else -> false
     }
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberHealth.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberHealth.kt
@@ -70,10 +70,14 @@
 
     fun recordReport(next: ReplicationReport, requestedAt: Duration, now: Duration) {
         report = next
-        receivedReport = ReceivedReport(next.received, requestedAt, now)
+        receivedReport = ReceivedReport(next.received, requestedAt, now, next.primary, next.term, next.held)
         reportedAt = now
     }
 
+    /** Whether the member reported on a request at [since] or later that it was told to stop receiving commits. */
+    fun isPaused(since: Duration): Boolean =
+        receivedReport?.let { it.requestedAt >= since && it.isPaused } ?: false
+
     companion object {
         /** Consecutive failures after which reads go to other members. */
         const val UNUSABLE_AFTER_FAILURES = 2
