Let a primary that has stepped down be replaced although it has commits that no replica received

Callers would have seen: after a step-down with a commit on its way, no writes for 2 s more, after which the leaving primary was promoted again and had to be replaced once more.

Cause: the candidate had to have received the highest position that any replica was seen at, and the former primary counts as a replica then. What it alone has was never acknowledged.

Change: once the primary reports that it does not lead, the replica that has most of all suffices. PromotionFenceSpec has this case, which failed before, and the others in which a fence counts or not. Reports of one check count in any order of the members: a release waited one check longer if the paused replica came last.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionFence.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionFence.kt
@@ -65,11 +65,10 @@
 
     /** Records the latest reports of [members]. */
     fun observe(members: List<ObservedMember>) {
+        members.forEach { member -> member.report?.let { pauses[member.name]?.observe(it) } }
         members.forEach { member ->
             val report = member.report ?: return@forEach
-            pauses.forEach { (name, pause) ->
-                if (name == member.name) pause.observe(report) else pause.observeOther(report)
-            }
+            pauses.filterKeys { it != member.name }.values.forEach { it.observeOther(report) }
             if (member.name == primary) observePrimary(report)
         }
     }
@@ -102,9 +101,11 @@
     fun choose(members: List<ObservedMember>, replication: ObservedReplication, now: Duration): ObservedMember? {
         val reachable = members.filter { it.failingSince == null && it.received != null }
         reachable.firstOrNull { it.name == candidate && mayPromoteUnfenced(it) }?.let { return it }
+        // Commits that only a stopped primary has were never acknowledged.
+        val replicated = replication.replicated.takeIf { stopped == null }
         val eligible = reachable
             .filter { it.name != primary || isStoppedFor(timing.stepBackDelay, now) }
-            .filter { replication.replicated == null || it.hasReceived(replication.replicated) }
+            .filter { it.hasReceived(replicated) }
             .filter { isComplete(it, members, replication.synchronousReplicas) }
         return eligible.firstOrNull { it.name == candidate }
             ?: eligible.maxWithOrNull(compareBy({ !it.leaving }, { it.name != primary }, { it.received }, { it.name }))
--- /dev/null
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
@@ -0,0 +1,147 @@
+package dev.kumquatknot.core.databasegroup
+
+import dev.kumquatknot.core.history.HistoryPoint
+import dev.kumquatknot.core.history.LogPosition
+import dev.kumquatknot.core.history.Term
+import dev.kumquatknot.core.identity.MemberName
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class PromotionFenceSpec {
+    private val primary = MemberName("primary")
+    private val candidate = MemberName("candidate")
+    private val other = MemberName("other")
+    private val start = 60.seconds
+    private val fence =
+        PromotionFence(candidate, primary, FailoverReason.PRIMARY_LEAVING, Term(2), start, FenceTiming())
+
+    private fun point(position: Long) = HistoryPoint(Term(1), LogPosition(position))
+
+    private fun member(
+        name: MemberName,
+        received: Long,
+        at: Duration,
+        leads: Boolean = name == primary,
+        held: Long = 0,
+    ) = ObservedMember(
+        name = name,
+        leaving = name == primary,
+        answeredAt = at,
+        failingSince = null,
+        failures = 0,
+        refusing = false,
+        received = point(received),
+        report = ReceivedReport(point(received), at, at, leads, Term(1), Term(held)),
+    )
+
+    /** Observes all members at [at] and returns the member that may be promoted. */
+    private fun chosen(
+        at: Duration,
+        primaryAt: Long,
+        candidateAt: Long,
+        otherAt: Long,
+        leads: Boolean = true,
+        held: Long = 2,
+    ): MemberName? {
+        val members = listOf(
+            member(primary, primaryAt, at, leads),
+            member(candidate, candidateAt, at),
+            member(other, otherAt, at, held = held),
+        )
+        fence.observe(members)
+        val replicated = point(maxOf(candidateAt, otherAt, if (leads) 0 else primaryAt))
+        return fence.choose(members, ObservedReplication(1, replicated), at)?.name
+    }
+
+    private fun send(at: Duration) =
+        fence.dueCommands(listOf(member(primary, 9, at), member(candidate, 9, at), member(other, 9, at)), at)
+
+    private fun pauseOther() {
+        send(start)
+        fence.recordAnswer(other, FenceCommand.Pause(Term(2)), start)
+    }
+
+    @Nested
+    inner class `a replica that has answered the command to pause` {
+        @Test
+        fun `counts once it has stood still while another member advanced`() {
+            pauseOther()
+            expectThat(chosen(start + 50.milliseconds, 12, 12, 10)).isNull()
+            expectThat(chosen(start + 150.milliseconds, 14, 14, 10)).isNull()
+            expectThat(chosen(start + 250.milliseconds, 15, 15, 10)).isEqualTo(candidate)
+        }
+
+        @Test
+        fun `counts only after a longer time if nobody advanced, as in a group without writes`() {
+            pauseOther()
+            expectThat(chosen(start + 50.milliseconds, 10, 10, 10)).isNull()
+            expectThat(chosen(start + 550.milliseconds, 10, 10, 10)).isNull()
+            expectThat(chosen(start + 1_050.milliseconds, 10, 10, 10)).isEqualTo(candidate)
+        }
+
+        /** The answer alone was no proof: the members of the review answer and receive on. */
+        @Test
+        fun `never counts if it has received commits since, and the primary is told to step down`() {
+            pauseOther()
+            expectThat(chosen(start + 50.milliseconds, 12, 12, 10)).isNull()
+            expectThat(chosen(start + 150.milliseconds, 14, 14, 12)).isNull()
+            expectThat(chosen(start + 5.seconds, 14, 14, 12)).isNull()
+            expectThat(send(start + 200.milliseconds)[primary]).isA<FenceCommand.StepDown>()
+        }
+
+        @Test
+        fun `is paused again after a restart`() {
+            pauseOther()
+            expectThat(chosen(start + 50.milliseconds, 12, 12, 10)).isNull()
+            expectThat(chosen(start + 250.milliseconds, 14, 14, 10, held = 0)).isNull()
+            expectThat(send(start + 300.milliseconds)[other]).isA<FenceCommand.Pause>()
+        }
+
+        @Test
+        fun `does not make up for a candidate that lacks what it has`() {
+            pauseOther()
+            expectThat(chosen(start + 50.milliseconds, 12, 9, 10)).isNull()
+            expectThat(chosen(start + 1_250.milliseconds, 14, 9, 10)).isNull()
+        }
+    }
+
+    @Nested
+    inner class `a primary that was told to step down` {
+        private fun stop() {
+            send(start + 2.seconds)
+            fence.recordAnswer(primary, FenceCommand.StepDown(Term(2)), start + 2.seconds)
+        }
+
+        @Test
+        fun `is replaced once it reports that it does not lead`() {
+            stop()
+            expectThat(chosen(start + 2_100.milliseconds, 12, 12, 9)).isNull()
+            expectThat(chosen(start + 2_200.milliseconds, 12, 12, 9, leads = false)).isEqualTo(candidate)
+        }
+
+        /** Commits of the primary that no replica has received once kept the candidate from being promoted. */
+        @Test
+        fun `is replaced by the replica that has most of all, without commits that none has received`() {
+            stop()
+            expectThat(chosen(start + 2_200.milliseconds, 14, 12, 9, leads = false)).isEqualTo(candidate)
+        }
+
+        @Test
+        fun `is promoted again if no replica is known to have received all that it has`() {
+            stop()
+            val at = start + 2_200.milliseconds
+            val unreported = member(other, 9, at).copy(report = null)
+            val members = listOf(member(primary, 14, at, leads = false), member(candidate, 12, at), unreported)
+            fence.observe(members)
+            expectThat(fence.choose(members, ObservedReplication(1), at)).isNull()
+            expectThat(fence.choose(members, ObservedReplication(1), at + 3.seconds)?.name).isEqualTo(primary)
+        }
+    }
+}
