--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -239,8 +239,8 @@
 
     /**
      * The members that must have received a commit of [primary] so that no promotion loses it. They are all others that
-     * are not paused once a promotion is to be expected, because the primary leaves or a replica is paused. A paused
-     * replica is not promoted, as this would take another fence, which the commit outlasts.
+     * are not paused once a promotion is to be expected, because the primary leaves or a replica is paused. A replica
+     * that is paused after the commit is promoted only behind a later fence, and then has what the others have.
      */
     private fun requiredSuccessors(primary: MemberName, committedAt: Duration): RequiredSuccessors {
         val leader = belief.primary
