Let the group say which replicas a commit has to wait for

The confirmer asked in five places whether a group has synchronous replicas, beside the rule itself in GroupPools. One requirement, RequiredReceipt, now covers groups with and without them; the confirmer follows it.

No change of behaviour; SynchronousReplicationSpec, InteractiveNodeSpec and the specs of core on promotions pass.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/CommitConfirmer.kt
@@ -14,22 +14,30 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** The replicas that must have received a commit before callers are told of it. */
+internal sealed interface RequiredReceipt {
+    /** Any one of them, so that the promotion of the replica with the longest log keeps the commit. */
+    data object AnyReplica : RequiredReceipt
+
+    /** Each of [members]; none if the primary's own acknowledgement is enough. */
+    data class Each(val members: Set<MemberName>) : RequiredReceipt
+
+    /** Nobody knows yet which member leads next. */
+    data object Unknown : RequiredReceipt
+}
+
 /**
- * Holds back the acknowledgement of commits until a replica of the group has received them, so that the promotion of
- * the replica with the longest log keeps them. Replicas are polled only while a commit is unconfirmed.
- *
- * A primary with synchronous replicas waits for them itself, but not for those that may be promoted soon.
+ * Holds back the acknowledgement of commits until the required replicas have received them, so that no promotion loses
+ * them. Replicas are polled only while a commit is unconfirmed.
  *
- * @param isSynchronous whether the primary itself acknowledges a commit only once a replica has received it.
  * @param replicas the members that may take over from the primary, nearest first.
- * @param successors the members of which each must have received a commit of a primary with synchronous replicas.
+ * @param required what a commit of a primary has to wait for.
  */
 internal class CommitConfirmer(
     private val group: DatabaseName,
     private val environment: NodeEnvironment,
-    private val isSynchronous: () -> Boolean,
     private val replicas: () -> List<MemberPool>,
-    private val successors: (primary: MemberName, committedAt: Duration) -> RequiredSuccessors,
+    private val required: (primary: MemberName, committedAt: Duration) -> RequiredReceipt,
 ) {
     private val tracker = ConfirmationTracker(MAJORITY, environment.clock)
     private val waiting = ArrayList<WaitingCommit>()
@@ -42,16 +50,16 @@
     val stalledSince: Duration? get() = oldest?.since?.takeIf { environment.now() - it > STALL_TIMEOUT }
 
     /**
-     * Waits until a replica has received the commit of [primary] at [point] and calls [done] once, at [deadline] at
-     * the latest. Nothing is waited for if the primary has waited, or if the group has no replica that a promotion
-     * could choose.
+     * Waits until the required replicas have received the commit of [primary] at [point] and calls [done] once, at
+     * [deadline] at the latest. Nothing is waited for if the group has no replica that a promotion could choose.
      */
     fun await(point: HistoryPoint, primary: MemberName, deadline: Duration, done: (Confirmation) -> Unit) {
         val now = environment.now()
         val unconfirmed = UnconfirmedCommit(point, primary, now)
         val decided = decisionOf(unconfirmed)
         if (decided != null) return done(decided)
-        if (!isSynchronous() && replicas().isEmpty()) return done(Confirmation.CONFIRMED)
+        val hasNoReplica = requiredFor(unconfirmed) is RequiredReceipt.AnyReplica && replicas().isEmpty()
+        if (hasNoReplica) return done(Confirmation.CONFIRMED)
         val commit = WaitingCommit(unconfirmed, done)
         waiting += commit
         if (oldest == null) oldest = commit.commit
@@ -87,17 +95,20 @@
 
     private fun decisionOf(commit: UnconfirmedCommit): Confirmation? {
         val decided = tracker.confirmation(commit.point, commit.primary)
-        if (!isSynchronous() || decided == Confirmation.SUPERSEDED) return decided
-        return when (val required = successors(commit.primary, commit.since)) {
-            is RequiredSuccessors.Unknown -> null
-            is RequiredSuccessors.All ->
-                Confirmation.CONFIRMED.takeIf { required.members.all { tracker.isHeldBy(it, commit.point) } }
+        if (decided == Confirmation.SUPERSEDED) return decided
+        return when (val receipt = requiredFor(commit)) {
+            is RequiredReceipt.AnyReplica -> decided
+            is RequiredReceipt.Unknown -> null
+            is RequiredReceipt.Each ->
+                Confirmation.CONFIRMED.takeIf { receipt.members.all { tracker.isHeldBy(it, commit.point) } }
         }
     }
 
+    private fun requiredFor(commit: UnconfirmedCommit) = required(commit.primary, commit.since)
+
     private fun poll() {
         // Discovery may change what is required, without an answer of a replica.
-        if (isSynchronous()) settle()
+        settle()
         val commit = oldest ?: return
         // A connection that is opened for a poll alone costs a slot of the replica and may keep other VMs waiting.
         val candidates = replicas().sortedBy { it.isScarce && !it.isConnected }
@@ -105,9 +116,10 @@
         pollsByPool.keys.retainAll(candidates.toSet())
         val now = environment.now()
         val delay = if (candidates.any { it.isScarce }) SCARCE_REPLICA_DELAY else SECOND_REPLICA_DELAY
-        val polled = if (now - commit.since < delay && !isSynchronous()) candidates.take(1) else candidates
+        val isOneEnough = requiredFor(commit) is RequiredReceipt.AnyReplica
+        val polled = if (isOneEnough && now - commit.since < delay) candidates.take(1) else candidates
         polled.forEach { pool ->
-            pollsByPool.getOrPut(pool) { ReplicaPolls() }.let { if (!it.isPending) send(pool, it) }
+            pollsByPool.getOrPut(pool) { ReplicaPolls() }.let { if (!it.isPending) send(pool, it, isOneEnough) }
         }
         logStall(commit)
         scheduleNext()
@@ -122,13 +134,13 @@
         }
     }
 
-    private fun send(pool: MemberPool, polls: ReplicaPolls) {
+    private fun send(pool: MemberPool, polls: ReplicaPolls, isOneEnough: Boolean) {
         polls.isPending = true
         environment.metrics.memberPolled(PollPurpose.CONFIRMATION)
         val now = environment.now()
         val unconfirmedFor = oldest?.let { now - it.since } ?: Duration.ZERO
-        // Only a report tells whether a replica is paused.
-        val reports = unconfirmedFor > APPLICATION_TIME || now < polls.reportsUntil || isSynchronous()
+        // Only a report tells whether a replica is paused, so that it is not required.
+        val reports = !isOneEnough || unconfirmedFor > APPLICATION_TIME || now < polls.reportsUntil
         pool.acquireLink { link ->
             if (link == null) {
                 polls.isPending = false
@@ -162,15 +174,6 @@
         environment.events.log(Event.REPLICATION_RESUMED, "group" to group.value)
     }
 
-    /** The members that must have received a commit before callers are told of it. */
-    sealed interface RequiredSuccessors {
-        /** Each of [members]. */
-        data class All(val members: Set<MemberName>) : RequiredSuccessors
-
-        /** Nobody knows yet which member leads next. */
-        data object Unknown : RequiredSuccessors
-    }
-
     private class UnconfirmedCommit(val point: HistoryPoint, val primary: MemberName, val since: Duration)
 
     private class WaitingCommit(val commit: UnconfirmedCommit, val done: (Confirmation) -> Unit) {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -23,7 +23,6 @@
 import dev.kumquatknot.core.platform.StoreEra
 import dev.kumquatknot.proxy.event.Event
 import dev.kumquatknot.proxy.fleet.LoadReportPayload
-import dev.kumquatknot.proxy.interactive.CommitConfirmer.RequiredSuccessors
 import dev.kumquatknot.proxy.pool.ConnectionBudget
 import dev.kumquatknot.proxy.pool.MemberPool
 import dev.kumquatknot.proxy.pool.PoolRole
@@ -79,7 +78,7 @@
     val proofs = FreshnessProofs()
 
     /** Waits for the replication of commits. */
-    val confirmer = CommitConfirmer(group, environment, { synchronousReplicas() > 0 }, ::pollable, ::requiredSuccessors)
+    val confirmer = CommitConfirmer(group, environment, ::successors, ::requiredReceipt)
 
     /** All pools, including those of leaving members. */
     val all: Collection<MemberPool> get() = pools.values
@@ -232,27 +231,31 @@
     /** The pool of [member]; null if it is not known. */
     fun poolOf(member: MemberName): MemberPool? = pools[member]
 
-    /** The pools of members that may take over; nearest first, those without a known distance or failing last. */
-    private fun pollable(): List<MemberPool> = pools.values
+    /**
+     * The pools of members that may take over; nearest first, those without a known distance or failing last. A leaving
+     * member may do so only in a group with synchronous replicas, if no other one has all that it has.
+     */
+    private fun successors(): List<MemberPool> = pools.values
         .filter { !leads(it) && (it.leavingSince == null || synchronousReplicas() > 0) }
         .sortedWith(compareBy({ it.health.failures }, { it.distance == Duration.ZERO }, { it.distance }))
 
     /**
-     * The members that must have received a commit of [primary] so that no promotion loses it. They are all others that
-     * are not paused once a promotion is to be expected, because the primary leaves or a replica is paused. A replica
-     * that is paused after the commit is promoted only behind a later fence, and then has what the others have.
+     * Synchronous replicas have received a commit before the primary acknowledges it, but not those that may be promoted
+     * soon. Once that is to be expected, because the primary leaves or a replica is paused, all that are not paused are
+     * required. A replica that is paused after the commit is promoted only behind a later fence, and then has what the
+     * others have.
      */
-    private fun requiredSuccessors(primary: MemberName, committedAt: Duration): RequiredSuccessors {
+    private fun requiredReceipt(primary: MemberName, committedAt: Duration): RequiredReceipt {
+        if (synchronousReplicas() == 0) return RequiredReceipt.AnyReplica
         val leader = belief.primary
-        if (leader != primary) return leader?.let { RequiredSuccessors.All(setOf(it)) } ?: RequiredSuccessors.Unknown
-        val others = pools.values.filter { it.member.name != primary }
-        val paused = others.filter { it.health.isPaused(committedAt) }
+        if (leader != primary) return leader?.let { RequiredReceipt.Each(setOf(it)) } ?: RequiredReceipt.Unknown
+        val (paused, others) = pools.values.filter { it.member.name != primary }
+            .partition { it.health.isPaused(committedAt) }
         val mayBeReplaced = pools[primary]?.leavingSince != null || paused.isNotEmpty()
-        val required = (others - paused.toSet()).map { it.member.name }.toSet()
         return when {
-            !mayBeReplaced || others.isEmpty() -> RequiredSuccessors.All(emptySet())
-            required.isEmpty() -> RequiredSuccessors.Unknown
-            else -> RequiredSuccessors.All(required)
+            !mayBeReplaced -> RequiredReceipt.Each(emptySet())
+            others.isEmpty() && paused.isNotEmpty() -> RequiredReceipt.Unknown
+            else -> RequiredReceipt.Each(others.map { it.member.name }.toSet())
         }
     }
 
