Keep the time of a pending order in one place

FailoverDecision and GroupFailover each compared the time of the last order with the same timeout. The former now tells; the latter keeps only which order may still be carried out.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/FailoverDecision.kt
@@ -84,6 +84,10 @@
         lastOrderAt = now
     }
 
+    /** Whether an order was given that may still take effect in its time at [now]. */
+    public fun isOrderPending(now: Duration): Boolean =
+        orderedCandidate != null && now - lastOrderAt < timing.orderTimeout
+
     /** Clears the current order, which was refused or is no longer needed. */
     public fun clearOrder() {
         orderedCandidate = null
@@ -107,7 +111,7 @@
     ): FailoverOrder? {
         unmetReason = null
         if (orderedCandidate == primary && proved) orderedCandidate = null
-        if (orderedCandidate != null && now - lastOrderAt < timing.orderTimeout) return null
+        if (isOrderPending(now)) return null
         val current = members.firstOrNull { it.name == primary }
         val waits = current != null && candidates.mayWait(current, members - current, now, replication)
         val reason = reasonFor(current, proved, waits, now) ?: stallReason(replicationStalledSince, now)
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/GroupFailover.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/GroupFailover.kt
@@ -38,13 +38,15 @@
  * Confined to one thread.
  */
 public class GroupFailover(
-    private val timing: FailoverTiming = FailoverTiming(),
+    timing: FailoverTiming = FailoverTiming(),
     private val fenceTiming: FenceTiming = FenceTiming(),
 ) {
     private val decision = FailoverDecision(timing)
     private val foreignPauses = ForeignPauses(fenceTiming)
     private var fence: PromotionFence? = null
     private var release: FenceRelease? = null
+
+    /** The last order that may still be carried out, also long after its time; null if there is none. */
     private var openOrder: OpenOrder? = null
     private var nextFenceAt = -Duration.INFINITE
 
@@ -65,7 +67,7 @@
         if (group.isProved) recordLeader(primary)
         val active = fence
         return when {
-            isOrderPending(now) -> null
+            decision.isOrderPending(now) -> null
             active != null -> proceed(active, group, primary, now)
             else -> begin(group, primary, now) ?: findRelease(group, now)?.let { lift(it, group, primary, now) }
         }
@@ -80,7 +82,7 @@
     /** Records that the promotion of [candidate] was ordered at [now]. */
     public fun recordOrder(candidate: MemberName, now: Duration) {
         decision.recordOrder(candidate, now)
-        openOrder = OpenOrder(candidate, now, earlier = openOrder?.copy(earlier = null))
+        openOrder = OpenOrder(candidate, earlier = openOrder?.copy(earlier = null))
     }
 
     /** Records that nothing came of the order given last: it was refused, or not sent. */
@@ -129,13 +131,13 @@
         val active = fence ?: return
         val isOrdered = openOrder?.candidate == primary
         if (primary == active.primary && !isOrdered || primary == null) return
-        openOrder = openOrder?.takeIf { !isOrdered }
+        if (isOrdered) {
+            openOrder = null
+            decision.clearOrder()
+        }
         startRelease()
     }
 
-    private fun isOrderPending(now: Duration) =
-        openOrder?.let { now - it.at < timing.orderTimeout } ?: false
-
     private fun begin(group: ObservedGroup, primary: MemberName?, now: Duration): FailoverStep? {
         val order = decide(group, primary, now) ?: return null
         if (now < nextFenceAt) return null
@@ -209,7 +211,7 @@
         return FailoverStep.Confirm(primary)
     }
 
-    private data class OpenOrder(val candidate: MemberName, val at: Duration, val earlier: OpenOrder?)
+    private data class OpenOrder(val candidate: MemberName, val earlier: OpenOrder?)
 
     private class FenceRelease(var isOrderOpen: Boolean) {
         var nextConfirmationAt = -Duration.INFINITE
