Keep one report of a member instead of three fields

MemberHealth kept the platform's report, what failovers use of it, and its time again. One of them has all that is used. No change of behaviour; the same specs pass.

--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
@@ -281,7 +281,7 @@
         failures = health.failures,
         refusing = health.refusing,
         received = listOfNotNull(health.report?.received, health.point).maxOrNull(),
-        report = health.receivedReport,
+        report = health.report,
         acceptedAt = health.acceptedAt,
     )
 
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPoller.kt
@@ -84,7 +84,7 @@
         decides: Boolean,
         suspected: Boolean,
     ): List<MemberCommand> {
-        val reportedAt = pool.health.reportedAt
+        val reportedAt = pool.health.report?.answeredAt
         val leads = group.belief.isProved && group.leads(pool) && pool.leavingSince == null
         val isReportRecent = reportedAt != null && environment.now() - reportedAt < REPORT_AGE
         return when {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberHealth.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/pool/MemberHealth.kt
@@ -20,13 +20,9 @@
         private set
     var pointAt: Duration = Duration.ZERO
         private set
-    var report: ReplicationReport? = null
-        private set
 
-    /** What the last report says of the member's log, for failover decisions. */
-    var receivedReport: ReceivedReport? = null
-        private set
-    var reportedAt: Duration? = null
+    /** The last report. */
+    var report: ReceivedReport? = null
         private set
 
     /** Time at which the member's address last accepted a connection, whether or not the member served it. */
@@ -69,14 +65,12 @@
     }
 
     fun recordReport(next: ReplicationReport, requestedAt: Duration, now: Duration) {
-        report = next
-        receivedReport = ReceivedReport(next.received, requestedAt, now, next.primary, next.term, next.held)
-        reportedAt = now
+        report = ReceivedReport(next.received, requestedAt, now, next.primary, next.term, next.held)
     }
 
     /** Whether the member reported on a request at [since] or later that it was told to stop receiving commits. */
     fun isPaused(since: Duration): Boolean =
-        receivedReport?.let { it.requestedAt >= since && it.isPaused } ?: false
+        report?.let { it.requestedAt >= since && it.isPaused } ?: false
 
     companion object {
         /** Consecutive failures after which reads go to other members. */
