Use the members' commands in the fence of a promotion

The fence had commands of its own with the same three names, and the coordinator translated each into a member's command. They are a kind of member command now. No change of behaviour; the specs on fences compile and run unchanged but for names.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/GroupFailover.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/GroupFailover.kt
@@ -2,6 +2,7 @@
 
 import dev.kumquatknot.core.history.Term
 import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.interactive.MemberCommand
 import kotlin.time.Duration
 
 /** Next action in the failover of a group. */
@@ -10,7 +11,7 @@
     public data class Promote(val order: FailoverOrder) : FailoverStep
 
     /** Sends commands to members. Those that stay unanswered are returned again. */
-    public data class Send(val commands: Map<MemberName, FenceCommand>) : FailoverStep
+    public data class Send(val commands: Map<MemberName, MemberCommand.Fence>) : FailoverStep
 
     /**
      * Orders the promotion of the present [primary]. It changes nothing, but its fencing token invalidates earlier
@@ -98,8 +99,8 @@
     }
 
     /** Records that [member] answered [command] at [now]. */
-    public fun recordAnswer(member: MemberName, command: FenceCommand, now: Duration) {
-        if (command is FenceCommand.Resume && fence == null) pausedMembers -= member
+    public fun recordAnswer(member: MemberName, command: MemberCommand.Fence, now: Duration) {
+        if (command is MemberCommand.Resume && fence == null) pausedMembers -= member
         fence?.recordAnswer(member, command, now)
     }
 
@@ -107,9 +108,9 @@
      * Returns the commands to send when this VM has just lost the lease. Pauses that an order relies on stay: the next
      * holder of the lease lifts them after it has invalidated that order.
      */
-    public fun commandsAtLeaseLoss(): Map<MemberName, FenceCommand> {
+    public fun commandsAtLeaseLoss(): Map<MemberName, MemberCommand.Fence> {
         val isOrderOpen = openOrder != null || release?.isOrderOpen == true
-        return if (isOrderOpen) emptyMap() else pausedMembers.associateWith { FenceCommand.Resume }
+        return if (isOrderOpen) emptyMap() else pausedMembers.associateWith { MemberCommand.Resume }
     }
 
     /** The believed primary, unless it reports that it does not lead. */
@@ -173,8 +174,8 @@
         }
     }
 
-    private fun send(commands: Map<MemberName, FenceCommand>): FailoverStep? {
-        pausedMembers += commands.filterValues { it is FenceCommand.Pause }.keys
+    private fun send(commands: Map<MemberName, MemberCommand.Fence>): FailoverStep? {
+        pausedMembers += commands.filterValues { it is MemberCommand.Pause }.keys
         return if (commands.isEmpty()) null else FailoverStep.Send(commands)
     }
 
@@ -205,7 +206,7 @@
             release = null
             return null
         }
-        if (!current.isOrderOpen) return FailoverStep.Send(pausedMembers.associateWith { FenceCommand.Resume })
+        if (!current.isOrderOpen) return FailoverStep.Send(pausedMembers.associateWith { MemberCommand.Resume })
         if (primary == null || !group.isProved || now < current.nextConfirmationAt) return null
         current.nextConfirmationAt = now + fenceTiming.retryDelay
         return FailoverStep.Confirm(primary)
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionFence.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionFence.kt
@@ -3,22 +3,11 @@
 import dev.kumquatknot.core.history.HistoryPoint
 import dev.kumquatknot.core.history.Term
 import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.interactive.MemberCommand
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** A command to one member that begins or ends its part in a [PromotionFence]. */
-public sealed interface FenceCommand {
-    /** Stops a replica from receiving commits; [term] must be above every term of the group. */
-    public data class Pause(val term: Term) : FenceCommand
-
-    /** Makes a paused replica receive commits again. */
-    public data object Resume : FenceCommand
-
-    /** Makes the primary a replica if its term is below [term]. */
-    public data class StepDown(val term: Term) : FenceCommand
-}
-
 /**
  * Keeps commits from being acknowledged that [candidate] lacks, from before its promotion is ordered until it takes
  * effect.
@@ -55,11 +44,11 @@
     val isDefied: Boolean get() = stepDownAnsweredAt?.let { at -> lastLedAt?.let { it >= at } } ?: false
 
     /** Records that [member] answered [command] at [now]. */
-    fun recordAnswer(member: MemberName, command: FenceCommand, now: Duration) {
+    fun recordAnswer(member: MemberName, command: MemberCommand.Fence, now: Duration) {
         when (command) {
-            is FenceCommand.Pause -> if (command.term == term) pauses[member]?.recordAnswer(now)
-            is FenceCommand.StepDown -> if (member == primary) stepDownAnsweredAt = stepDownAnsweredAt ?: now
-            is FenceCommand.Resume -> Unit
+            is MemberCommand.Pause -> if (command.term == term) pauses[member]?.recordAnswer(now)
+            is MemberCommand.StepDown -> if (member == primary) stepDownAnsweredAt = stepDownAnsweredAt ?: now
+            is MemberCommand.Resume -> Unit
         }
     }
 
@@ -83,15 +72,15 @@
     }
 
     /** Returns the commands to send at [now]. */
-    fun dueCommands(members: List<ObservedMember>, now: Duration): Map<MemberName, FenceCommand> {
+    fun dueCommands(members: List<ObservedMember>, now: Duration): Map<MemberName, MemberCommand.Fence> {
         val others = members.filter { it.name != candidate && it.name != primary && it.failingSince == null }
         val pausing = others.filter { pauses.getOrPut(it.name) { PausedReplica(term) }.answeredAt == null }
-        val commands = pausing.associate<_, _, FenceCommand> { it.name to FenceCommand.Pause(term) }
+        val commands = pausing.associate<_, _, MemberCommand.Fence> { it.name to MemberCommand.Pause(term) }
         val leading = members.firstOrNull { it.name == primary && it.failingSince == null }
         val isLate = now - startedAt > timing.pauseTimeout || pauses.values.any { it.hasReceived }
         if (leading == null || stepDownAnsweredAt != null || !isLate) return commands
         hasStepDown = true
-        return commands + (leading.name to FenceCommand.StepDown(term))
+        return commands + (leading.name to MemberCommand.StepDown(term))
     }
 
     /**
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberCommand.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/interactive/MemberCommand.kt
@@ -49,14 +49,17 @@
     /** Requests the member's report. */
     public data object Report : Reporting
 
+    /** A command that begins or ends a member's part in the fence of a promotion. */
+    public sealed interface Fence : Reporting
+
     /** Stops a replica from receiving commits; [term] must be above every term of the group. */
-    public data class Pause(val term: Term) : Reporting
+    public data class Pause(val term: Term) : Fence
 
     /** Makes a paused replica receive commits again. */
-    public data object Resume : Reporting
+    public data object Resume : Fence
 
     /** Makes a primary whose term is below [term] a replica. */
-    public data class StepDown(val term: Term) : Reporting
+    public data class StepDown(val term: Term) : Fence
 }
 
 /** Transaction state of a session after a statement. */
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
@@ -4,6 +4,7 @@
 import dev.kumquatknot.core.history.LogPosition
 import dev.kumquatknot.core.history.Term
 import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.interactive.MemberCommand
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -65,7 +66,7 @@
 
     private fun pauseOther() {
         send(start)
-        fence.recordAnswer(other, FenceCommand.Pause(Term(2)), start)
+        fence.recordAnswer(other, MemberCommand.Pause(Term(2)), start)
     }
 
     @Nested
@@ -93,7 +94,7 @@
             expectThat(chosen(start + 50.milliseconds, 12, 12, 10)).isNull()
             expectThat(chosen(start + 150.milliseconds, 14, 14, 12)).isNull()
             expectThat(chosen(start + 5.seconds, 14, 14, 12)).isNull()
-            expectThat(send(start + 200.milliseconds)[primary]).isA<FenceCommand.StepDown>()
+            expectThat(send(start + 200.milliseconds)[primary]).isA<MemberCommand.StepDown>()
         }
 
         @Test
@@ -101,7 +102,7 @@
             pauseOther()
             expectThat(chosen(start + 50.milliseconds, 12, 12, 10)).isNull()
             expectThat(chosen(start + 250.milliseconds, 14, 14, 10, held = 0)).isNull()
-            expectThat(send(start + 300.milliseconds)[other]).isA<FenceCommand.Pause>()
+            expectThat(send(start + 300.milliseconds)[other]).isA<MemberCommand.Pause>()
         }
 
         @Test
@@ -116,7 +117,7 @@
     inner class `a primary that was told to step down` {
         private fun stop() {
             send(start + 2.seconds)
-            fence.recordAnswer(primary, FenceCommand.StepDown(Term(2)), start + 2.seconds)
+            fence.recordAnswer(primary, MemberCommand.StepDown(Term(2)), start + 2.seconds)
         }
 
         @Test
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionSafetySpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionSafetySpec.kt
@@ -4,6 +4,7 @@
 import dev.kumquatknot.core.history.LogPosition
 import dev.kumquatknot.core.history.Term
 import dev.kumquatknot.core.identity.MemberName
+import dev.kumquatknot.core.interactive.MemberCommand
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -174,14 +175,14 @@
         }
     }
 
-    private fun carryOut(member: MemberName, command: FenceCommand) {
+    private fun carryOut(member: MemberName, command: MemberCommand.Fence) {
         val replica = replicas.firstOrNull { it.name == member }
         val isReached = replica?.takesCommands ?: isPrimaryReachable
         if (!isReached) return
         when (command) {
-            is FenceCommand.Pause -> replica?.pause(command.term.value) ?: holdPrimary(command.term.value)
-            is FenceCommand.Resume -> replica?.resume() ?: holdPrimary(0)
-            is FenceCommand.StepDown -> stepDown(command.term.value)
+            is MemberCommand.Pause -> replica?.pause(command.term.value) ?: holdPrimary(command.term.value)
+            is MemberCommand.Resume -> replica?.resume() ?: holdPrimary(0)
+            is MemberCommand.StepDown -> stepDown(command.term.value)
         }
         // Some answers get lost.
         if (random.nextInt(10) > 0) failover.recordAnswer(member, command, now)
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/FailoverCoordinator.kt
@@ -3,7 +3,6 @@
 import dev.kumquatknot.core.databasegroup.FailoverOrder
 import dev.kumquatknot.core.databasegroup.FailoverReason
 import dev.kumquatknot.core.databasegroup.FailoverStep
-import dev.kumquatknot.core.databasegroup.FenceCommand
 import dev.kumquatknot.core.databasegroup.GroupFailover
 import dev.kumquatknot.core.databasegroup.ObservedGroup
 import dev.kumquatknot.core.databasegroup.ObservedMember
@@ -115,15 +114,15 @@
 
     /** An order after the primary has stepped down must not wait for the store, so that its token comes first. */
     private fun send(group: GroupPools, failover: GroupFailover, step: FailoverStep.Send, token: Long) {
-        val stepsDown = step.commands.values.any { it is FenceCommand.StepDown }
+        val stepsDown = step.commands.values.any { it is MemberCommand.StepDown }
         if (!stepsDown || token > lastUsedToken) return send(group, failover, step.commands)
-        send(group, failover, step.commands.filterValues { it !is FenceCommand.StepDown })
+        send(group, failover, step.commands.filterValues { it !is MemberCommand.StepDown })
         if (isTokenRequested) return
         isTokenRequested = true
         leaseRenewer.advanceToken { environment.schedule(Duration.ZERO) { isTokenRequested = false } }
     }
 
-    private fun send(group: GroupPools, failover: GroupFailover, commands: Map<MemberName, FenceCommand>) =
+    private fun send(group: GroupPools, failover: GroupFailover, commands: Map<MemberName, MemberCommand.Fence>) =
         commands.forEach { (member, command) ->
             val pool = group.poolOf(member) ?: return@forEach
             if (!pendingCommands.add(member)) return@forEach
@@ -132,7 +131,7 @@
                     pendingCommands -= member
                     return@acquireLink
                 }
-                link.run(listOf(command.toMemberCommand()), environment.limits.reportTimeout) { result ->
+                link.run(listOf(command), environment.limits.reportTimeout) { result ->
                     pendingCommands -= member
                     val reply = (result as? BatchResult.Answered)?.replies?.first()
                     if (result is BatchResult.Answered) pool.releaseLink(link)
@@ -148,7 +147,7 @@
         group: GroupPools,
         failover: GroupFailover,
         member: MemberName,
-        command: FenceCommand,
+        command: MemberCommand.Fence,
         reply: MemberReply,
     ) {
         failover.recordAnswer(member, command, environment.now())
@@ -166,12 +165,6 @@
         )
     }
 
-    private fun FenceCommand.toMemberCommand(): MemberCommand = when (this) {
-        is FenceCommand.Pause -> MemberCommand.Pause(term)
-        is FenceCommand.Resume -> MemberCommand.Resume
-        is FenceCommand.StepDown -> MemberCommand.StepDown(term)
-    }
-
     private fun logFence(
         group: GroupPools,
         failover: GroupFailover,
