Pause a replica again that restarts after the order of a promotion

Callers would have lost a commit: a replica that was paused for a promotion restarted before it took effect, received again, and a primary that was alive acknowledged with it what the candidate lacked. A replica that had just stopped answering counted as paused, too.

Cause: the fence was renewed only up to the order, and looked at reports without asking whether their member still answers.

Change: a replica without an answer does not count, and pauses are renewed while the order is pending. PromotionFenceSpec, 'is paused again if it restarts before the order takes effect', failed before.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/GroupFailover.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/GroupFailover.kt
@@ -68,7 +68,7 @@
         if (group.isProved) recordLeader(primary)
         val active = fence
         return when {
-            decision.isOrderPending(now) -> null
+            decision.isOrderPending(now) -> active?.let { send(it.duePauses(group.members)) }
             active != null -> proceed(active, group, primary, now)
             else -> begin(group, primary, now) ?: findRelease(group, now)?.let { lift(it, group, primary, now) }
         }
--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionFence.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionFence.kt
@@ -71,18 +71,22 @@
         if (announcedPoint == null && isAnnounced) announcedPoint = report.received
     }
 
-    /** Returns the commands to send at [now]. */
+    /** Returns the commands to send at [now] before the order. */
     fun dueCommands(members: List<ObservedMember>, now: Duration): Map<MemberName, MemberCommand.Fence> {
-        val others = members.filter { it.name != candidate && it.name != primary && it.failingSince == null }
-        val pausing = others.filter { pauses.getOrPut(it.name) { PausedReplica(term) }.answeredAt == null }
-        val commands = pausing.associate<_, _, MemberCommand.Fence> { it.name to MemberCommand.Pause(term) }
+        val pausing = duePauses(members)
         val leading = members.firstOrNull { it.name == primary && it.failingSince == null }
         val isLate = now - startedAt > timing.pauseTimeout || pauses.values.any { it.hasReceived }
-        if (leading == null || stepDownAnsweredAt != null || !isLate) return commands
+        if (leading == null || stepDownAnsweredAt != null || !isLate) return pausing
         hasStepDown = true
-        return commands + (leading.name to MemberCommand.StepDown(term))
+        return pausing + (leading.name to MemberCommand.StepDown(term))
     }
 
+    /** Returns the commands that pause replicas which are not paused, or not any more as they have restarted. */
+    fun duePauses(members: List<ObservedMember>): Map<MemberName, MemberCommand.Fence> = members
+        .filter { it.name != candidate && it.name != primary && it.failingSince == null }
+        .filter { pauses.getOrPut(it.name) { PausedReplica(term) }.answeredAt == null }
+        .associate { it.name to MemberCommand.Pause(term) }
+
     /**
      * Returns the member that holds every commit that was or will be acknowledged until its promotion; null while no
      * member is known to.
@@ -120,7 +124,9 @@
                 chosen.hasReceived(last.received) ||
                 reports.all { it != null && chosen.hasReceived(it.received) }
         }
-        val paused = others.mapNotNull { pauses[it.name] }.filter { it.isShown(isFailing(members), timing) }
+        // A replica that does not answer may be down, and come back without its pause.
+        val paused = others.filter { it.failingSince == null }.mapNotNull { pauses[it.name] }
+            .filter { it.isShown(isFailing(members), timing) }
         // Where no primary is known, one of the other members may be it.
         val unpaused = others.size - paused.size - if (primary == null) 1 else 0
         return unpaused < synchronousReplicas && paused.all { chosen.hasReceived(it.position) }
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
@@ -113,6 +113,36 @@
         }
     }
 
+    @Nested
+    inner class `a replica that was paused for an order` {
+        private val failover = GroupFailover()
+
+        private fun next(at: Duration, otherAt: Long, held: Long): FailoverStep? = failover.next(
+            ObservedGroup(
+                listOf(member(primary, 20, at), member(candidate, 20, at), member(other, otherAt, at, held = held)),
+                primary,
+                isProved = true,
+                ObservedReplication(1),
+            ),
+            at,
+        )
+
+        /** It once received commits again until the promotion took effect, as the fence was renewed only before. */
+        @Test
+        fun `is paused again if it restarts before the order takes effect`() {
+            expectThat(
+                next(start, 9, held = 0),
+            ).isEqualTo(FailoverStep.Send(mapOf(other to MemberCommand.Pause(Term(2)))))
+            failover.recordAnswer(other, MemberCommand.Pause(Term(2)), start)
+            next(start + 100.milliseconds, 9, held = 2)
+            expectThat(next(start + 300.milliseconds, 9, held = 2)).isA<FailoverStep.Promote>()
+            failover.recordOrder(candidate, start + 300.milliseconds)
+            expectThat(next(start + 400.milliseconds, 9, held = 2)).isNull()
+            expectThat(next(start + 500.milliseconds, 12, held = 0))
+                .isEqualTo(FailoverStep.Send(mapOf(other to MemberCommand.Pause(Term(2)))))
+        }
+    }
+
     @Nested
     inner class `a primary that was told to step down` {
         private fun stop() {
