--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
@@ -61,6 +61,12 @@
         return fence.choose(members, ObservedReplication(1, replicated), at)?.name
     }
 
+    private fun group(at: Duration, otherAt: Long, held: Long, leaving: Boolean): ObservedGroup {
+        val leader = member(primary, 20, at).copy(leaving = leaving)
+        val members = listOf(leader, member(candidate, 20, at), member(other, otherAt, at, held = held))
+        return ObservedGroup(members, primary, isProved = true, ObservedReplication(1))
+    }
+
     private fun send(at: Duration) =
         fence.dueCommands(listOf(member(primary, 9, at), member(candidate, 9, at), member(other, 9, at)), at)
 
@@ -117,15 +123,8 @@
     inner class `a replica that was paused for an order` {
         private val failover = GroupFailover()
 
-        private fun next(at: Duration, otherAt: Long, held: Long): FailoverStep? = failover.next(
-            ObservedGroup(
-                listOf(member(primary, 20, at), member(candidate, 20, at), member(other, otherAt, at, held = held)),
-                primary,
-                isProved = true,
-                ObservedReplication(1),
-            ),
-            at,
-        )
+        private fun next(at: Duration, otherAt: Long, held: Long): FailoverStep? =
+            failover.next(group(at, otherAt, held, leaving = true), at)
 
         /** It once received commits again until the promotion took effect, as the fence was renewed only before. */
         @Test
@@ -143,6 +142,45 @@
         }
     }
 
+    /** Without a way back, the group would stay without this replica, or without service if no other one receives. */
+    @Nested
+    inner class `a pause` {
+        private val pauses = FailoverStep.Send(mapOf(other to MemberCommand.Pause(Term(2))))
+        private val resumptions = FailoverStep.Send(mapOf(other to MemberCommand.Resume))
+
+        @Test
+        fun `that a lost VM has left behind is lifted once earlier orders are invalid`() {
+            val successor = GroupFailover()
+            expectThat(successor.next(group(start, 9, held = 2, leaving = false), start)).isNull()
+            val at = start + 1.seconds
+            expectThat(
+                successor.next(group(at, 9, held = 2, leaving = false), at),
+            ).isEqualTo(FailoverStep.Confirm(primary))
+            expectThat(successor.next(group(at, 9, held = 2, leaving = false), at)).isNull()
+            successor.recordConfirmation()
+            expectThat(successor.next(group(at, 9, held = 2, leaving = false), at)).isEqualTo(resumptions)
+            successor.recordAnswer(other, MemberCommand.Resume, at)
+            expectThat(successor.next(group(at, 20, held = 0, leaving = false), at)).isNull()
+        }
+
+        @Test
+        fun `is lifted when the lease is lost before an order, and left to the next holder after one`() {
+            val failover = GroupFailover()
+            expectThat(failover.next(group(start, 9, held = 0, leaving = true), start)).isEqualTo(pauses)
+            expectThat(failover.commandsAtLeaseLoss()).isEqualTo(resumptions.commands)
+            failover.recordOrder(candidate, start)
+            expectThat(failover.commandsAtLeaseLoss()).isEqualTo(emptyMap())
+        }
+
+        @Test
+        fun `is lifted without an order if its reason is gone`() {
+            val failover = GroupFailover()
+            expectThat(failover.next(group(start, 9, held = 0, leaving = true), start)).isEqualTo(pauses)
+            val at = start + 100.milliseconds
+            expectThat(failover.next(group(at, 9, held = 2, leaving = false), at)).isEqualTo(resumptions)
+        }
+    }
+
     @Nested
     inner class `a primary that was told to step down` {
         private fun stop() {
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionSafetySpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionSafetySpec.kt
@@ -82,14 +82,14 @@
 private class PlayedFailover(val seed: Int, val isPromoted: Boolean, val isPaused: Boolean, val violation: String?)
 
 /**
- * One failover. Replicas receive commits with delays of their own, equal ones too, or not at all, report or only answer,
- * and cannot be reached, for spans that follow from the [seed]; the primary acknowledges a commit once one of them has
- * received it.
- * Orders take effect late, and some are not answered.
+ * One failover. Replicas receive commits with delays of their own, equal ones too, or not at all, report or only
+ * answer, and cannot be reached, for spans that follow from the [seed]; the primary acknowledges a commit once one of
+ * them has received it. Orders take effect late, and some are not answered.
  *
  * @param ignoresFences whether members answer commands of fences without carrying them out.
- * @param replicasRestart whether some replicas are down while they cannot be reached, which ends a pause. With either,
- * a commit of a leaving primary counts only once all replicas that are not paused have received it, as VMs tell callers.
+ * @param replicasRestart whether some replicas are down while they cannot be reached, which ends a pause. With
+ * either, a commit of a leaving primary counts only once all replicas that are not paused have received it, as VMs
+ * tell callers.
  */
 private class FailoverPlay(
     private val seed: Int,
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -240,10 +240,10 @@
         .sortedWith(compareBy({ it.health.failures }, { it.distance == Duration.ZERO }, { it.distance }))
 
     /**
-     * Synchronous replicas have received a commit before the primary acknowledges it, but not those that may be promoted
-     * soon. Once that is to be expected, because the primary leaves or a replica is paused, all that are not paused are
-     * required. A replica that is paused after the commit is promoted only behind a later fence, and then has what the
-     * others have.
+     * Synchronous replicas have received a commit before the primary acknowledges it, but not those that may be
+     * promoted soon. Once that is to be expected, because the primary leaves or a replica is paused, all that are not
+     * paused are required. A replica that is paused after the commit is promoted only behind a later fence, and then
+     * has what the others have.
      */
     private fun requiredReceipt(primary: MemberName, committedAt: Duration): RequiredReceipt {
         if (synchronousReplicas() == 0) return RequiredReceipt.AnyReplica
