Keep writes going at a release soon after another one

Cause: a member that was released stays listed for some seconds after its process has ended. If the next primary of the group, with synchronous replicas, leaves within that time, VMs waited for the ended member to receive each commit, so that writes ended in doubt after 1 s and were then rejected; and as it could not be shown to be paused, the primary was made to step down.

Change: a replica that leaves is required to have received a commit only if no replica is left that stays. The fence of a release does not count a leaving replica that does not answer; VMs have commits confirmed by the candidate, so whatever that replica receives is not lost. Hence the candidate must be one that stays: no leaving candidate is promoted without a fence, and a paused replica takes its place only if every other one is paused. A candidate that still reports the pause of a former fence counts as required only from then on when it reports none.

--- a/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionFence.kt
+++ b/kumquatknot-core/src/main/kotlin/dev/kumquatknot/core/databasegroup/PromotionFence.kt
@@ -31,9 +31,11 @@
     private val timing: FenceTiming,
 ) {
     private val pauses = HashMap<MemberName, PausedReplica>()
+    private val isReleased = reason == FailoverReason.PRIMARY_LEAVING
     private var stepDownAnsweredAt: Duration? = null
     private var lastLedAt: Duration? = null
     private var stopped: ReceivedReport? = null
+    private var requiredSince = startedAt
     private var announcedPoint: HistoryPoint? = null
 
     /** Whether the primary was told to step down, whether or not it did. */
@@ -58,16 +60,24 @@
         members.forEach { member ->
             val report = member.report ?: return@forEach
             pauses.filterKeys { it != member.name }.values.forEach { it.observeOther(report) }
+            if (member.name == candidate) observeCandidate(report)
             if (member.name == primary) observePrimary(report)
         }
     }
 
+    /** As long as the candidate reports a pause of a former fence, VMs do not wait for it to receive commits. */
+    private fun observeCandidate(report: ReceivedReport) {
+        if (!report.isPaused) return
+        requiredSince = maxOf(requiredSince, report.answeredAt)
+        announcedPoint = null
+    }
+
     private fun observePrimary(report: ReceivedReport) {
         val answeredAt = stepDownAnsweredAt ?: return
         if (report.requestedAt < answeredAt) return
         if (report.leads) lastLedAt = report.requestedAt
         stopped = report.takeIf { !it.leads }
-        val isAnnounced = report.requestedAt - startedAt >= timing.announcementTime
+        val isAnnounced = report.requestedAt - requiredSince >= timing.announcementTime
         if (announcedPoint == null && isAnnounced) announcedPoint = report.received
     }
 
@@ -106,11 +116,11 @@
 
     /**
      * Members that take no commands can still be replaced when they leave. Every VM knows of it after a while, and from
-     * then on has no commit acknowledged that a replica lacks which is not paused.
+     * then on has no commit acknowledged that a replica lacks which is neither paused nor leaving.
      */
     private fun mayPromoteUnfenced(member: ObservedMember): Boolean {
         val point = announcedPoint ?: return false
-        return isDefied && reason == FailoverReason.PRIMARY_LEAVING && member.hasReceived(point)
+        return isDefied && isReleased && !member.leaving && member.hasReceived(point)
     }
 
     private fun isStoppedFor(time: Duration, now: Duration) = stopped?.let { now - it.answeredAt > time } ?: false
@@ -128,10 +138,20 @@
         val paused = others.filter { it.failingSince == null }.mapNotNull { pauses[it.name] }
             .filter { it.isShown(isFailing(members), timing) }
         // Where no primary is known, one of the other members may be it.
-        val unpaused = others.size - paused.size - if (primary == null) 1 else 0
+        val uncounted = if (primary == null) 1 else others.count { hasLeft(it, chosen) }
+        val unpaused = others.size - paused.size - uncounted
         return unpaused < synchronousReplicas && paused.all { chosen.hasReceived(it.position) }
     }
 
+    /**
+     * Whether a replica that is listed for some time after its end needs no pause for the promotion of [chosen]. Even
+     * if it received commits, VMs have those of a leaving primary acknowledged only once the candidate has them.
+     */
+    private fun hasLeft(member: ObservedMember, chosen: ObservedMember): Boolean {
+        val isRequired = isReleased && chosen.name == candidate && !chosen.leaving
+        return isRequired && member.leaving && member.failures >= FailoverDecision.MINIMUM_FAILURES
+    }
+
     private fun isFailing(members: List<ObservedMember>) =
         members.none { it.name == primary && it.failingSince == null }
 
--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
@@ -142,6 +142,27 @@
         }
     }
 
+    /** Soon after a release, discovery still lists the former primary, whose process has ended. */
+    @Nested
+    inner class `a replica that does not answer` {
+        private fun chosen(leaving: Boolean): MemberName? {
+            val lost = member(other, 9, start).copy(leaving = leaving, failingSince = start, failures = 2)
+            val members = listOf(member(primary, 20, start), member(candidate, 20, start), lost)
+            fence.observe(members)
+            return fence.choose(members, ObservedReplication(1, point(20)), start)?.name
+        }
+
+        @Test
+        fun `needs no pause if it leaves`() {
+            expectThat(chosen(leaving = true)).isEqualTo(candidate)
+        }
+
+        @Test
+        fun `may come back without a pause otherwise`() {
+            expectThat(chosen(leaving = false)).isNull()
+        }
+    }
+
     /** Without a way back, the group would stay without this replica, or without service if no other one receives. */
     @Nested
     inner class `a pause` {
--- a/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
+++ b/kumquatknot-proxy/src/main/kotlin/dev/kumquatknot/proxy/interactive/GroupPools.kt
@@ -243,7 +243,7 @@
      * Synchronous replicas have received a commit before the primary acknowledges it, but not those that may be
      * promoted soon. Once that is to be expected, because the primary leaves or a replica is paused, all that are not
      * paused are required. A replica that is paused after the commit is promoted only behind a later fence, and then
-     * has what the others have.
+     * has what the others have. One that leaves may have ended already and is required only if no other one is left.
      */
     private fun requiredReceipt(primary: MemberName, committedAt: Duration): RequiredReceipt {
         if (synchronousReplicas() == 0) return RequiredReceipt.AnyReplica
@@ -252,10 +252,11 @@
         val (paused, others) = pools.values.filter { it.member.name != primary }
             .partition { it.health.isPaused(committedAt) }
         val mayBeReplaced = pools[primary]?.leavingSince != null || paused.isNotEmpty()
+        val staying = others.filter { it.leavingSince == null }
         return when {
             !mayBeReplaced -> RequiredReceipt.Each(emptySet())
             others.isEmpty() && paused.isNotEmpty() -> RequiredReceipt.Unknown
-            else -> RequiredReceipt.Each(others.map { it.member.name }.toSet())
+            else -> RequiredReceipt.Each(staying.ifEmpty { others }.map { it.member.name }.toSet())
         }
     }
 
