--- a/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
+++ b/kumquatknot-core/src/test/kotlin/dev/kumquatknot/core/databasegroup/PromotionFenceSpec.kt
@@ -50,10 +50,11 @@
         otherAt: Long,
         leads: Boolean = true,
         held: Long = 2,
+        candidateHeld: Long = 0,
     ): MemberName? {
         val members = listOf(
             member(primary, primaryAt, at, leads),
-            member(candidate, candidateAt, at),
+            member(candidate, candidateAt, at, held = candidateHeld),
             member(other, otherAt, at, held = held),
         )
         fence.observe(members)
@@ -223,6 +224,15 @@
             expectThat(chosen(start + 2_200.milliseconds, 14, 12, 9, leads = false)).isEqualTo(candidate)
         }
 
+        /** VMs do not wait for a paused candidate; the time in which they learn of a release once included that one. */
+        @Test
+        fun `is replaced without a fence only when the candidate has reported no pause for long enough`() {
+            stop()
+            expectThat(chosen(start + 2_500.milliseconds, 12, 12, 9, candidateHeld = 2)).isNull()
+            expectThat(chosen(start + 3_100.milliseconds, 12, 12, 9)).isNull()
+            expectThat(chosen(start + 5_600.milliseconds, 12, 12, 9)).isEqualTo(candidate)
+        }
+
         @Test
         fun `is promoted again if no replica is known to have received all that it has`() {
             stop()
